--- /dev/null
+++ b/src/eldercart/cli/serve.py
@@ -0,0 +1,22 @@
+"""`serve`: one controller node until it is killed."""
+
+import gc
+from typing import Any
+
+from twisted.internet import reactor as _reactor
+from twisted.python.log import PythonLoggingObserver
+
+from eldercart.net.node import Node
+from eldercart.settings import NodeSettings, Tuning
+
+
+def serve(settings: NodeSettings, tuning: Tuning) -> int:
+    reactor: Any = _reactor
+    PythonLoggingObserver("twisted").start()
+    node = Node(settings, tuning)
+    reactor.callWhenRunning(node.start)
+    # What was imported stays: the collector need not look at it again.
+    gc.collect()
+    gc.freeze()
+    reactor.run(installSignalHandlers=False)
+    return 0
--- /dev/null
+++ b/src/eldercart/core/controller.py
@@ -0,0 +1,851 @@
+"""The leader's state machine: reports, jobs and answers in; commands, writes and cloud calls out.
+
+It holds no clock and does no I/O. The adapters call `tick`, ask `next_txn` and `next_cloud` for
+work, carry it out and hand the outcome back. Three promises are kept here and nowhere else:
+
+* a launch is sent only for a placement whose record is durable;
+* a task moves only when its old place is proven empty;
+* an end is told only once it is durable.
+"""
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+import orjson
+
+from eldercart.core import placement as rules
+from eldercart.core.fleet import Fleet, Life, Machine
+from eldercart.core.health import Health
+from eldercart.core.jobs import (
+    END,
+    GONE,
+    JOB,
+    PLACE,
+    Chunk,
+    Job,
+    JobBook,
+    Phase,
+    Placement,
+    end_of,
+    parse_job_record,
+    place_key,
+)
+from eldercart.core.rental import Hire, Offer, Rental
+from eldercart.election import LEAD_KEY
+from eldercart.settings import NodeSettings, Tuning
+from eldercart.units import ABSENT, Epoch, JobId, MachineId, Revision, Steady, WallTime
+from eldercart.wire import Malformed, cloud, users, workers
+from eldercart.wire.checks import load_answer
+from eldercart.wire.cloud import MachineType
+from eldercart.wire.state import Drop, Item, Put, Txn
+from eldercart.wire.users import JobSpec
+
+log = logging.getLogger("eldercart.controller")
+
+TXN_BYTES = 56 * 1024  # the limit is 64 KiB; keys, guards and names take the rest
+
+
+class Outcome(Enum):
+    OK = "ok"
+    CONFLICT = "conflict"
+    REFUSED = "refused"  # surely not carried out
+    UNKNOWN = "unknown"  # may have been, or may be later
+
+
+class Verdict(Enum):
+    UNKNOWN_JOB = "unknown"
+    UNDECIDED = "undecided"
+
+
+@dataclass(slots=True)
+class PendingTxn:
+    txn: Txn
+    ends: list[tuple[Job, str]] = field(default_factory=list)
+    chunks: list[tuple[Job, Chunk, list[Placement], list[Placement]]] = field(default_factory=list)
+    cleanups: list[tuple[Job, list[int], bool]] = field(default_factory=list)
+    size: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Rent:
+    hire: Hire
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    machines: tuple[MachineId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ListPage:
+    after: MachineId | None
+
+
+@dataclass(frozen=True, slots=True)
+class GetCatalog:
+    pass
+
+
+CloudCall = Rent | Delete | ListPage | GetCatalog
+
+
+@dataclass(frozen=True, slots=True)
+class JobStatus:
+    state: str
+    done: int
+    running: int
+
+
+class Controller:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        tuning: Tuning,
+        epoch: Epoch,
+        types: dict[str, MachineType],
+        now: Steady,
+        wall: WallTime,
+    ) -> None:
+        self.settings = settings
+        self.tuning = tuning
+        self.epoch = epoch
+        self.types = types
+        self._zero_wall = wall - now  # time of day at steady zero, good to the settings' bound
+        self.jobs = JobBook(0)
+        self.fleet = Fleet()
+        self.rental = Rental(tuning, settings.teams)
+        self.health = Health(tuning.quarantine_jobs, tuning.error_backoff_s)
+        self.reread: set[str] = set()
+        self.reread_under_way: set[str] = set()
+        self.finished: list[tuple[JobId, str]] = []  # newly durable ends, for waiting answers
+        self.catalog_changed = False
+        self._txn: PendingTxn | None = None
+        self._ending: dict[JobId, Job] = {}  # complete or cancelled, end not yet durable
+        self._cleaning: dict[JobId, Job] = {}
+        self._dirty: dict[JobId, Job] = {}
+        self._doomed: dict[MachineId, None] = {}
+        self._cloud_busy: set[str] = set()
+        self._cloud_pause = Steady(-1e9)
+        self._hire_queue: list[Hire] = []
+        self._list_due = now
+        self._list_after: MachineId | None = None
+        self._catalog_due = now
+        self._began = now
+        self._last_tick = now
+        self._plan_wanted = True
+        self._planned = Steady(-1e9)
+        self._rental_due = now
+        self._orphans: list[tuple[str, Revision]] = []
+        self._list_seen = False
+
+    # ------------------------------------------------------------------ take-over
+
+    def load(
+        self,
+        job_items: Iterable[Item],
+        place_items: Iterable[Item],
+        gone_items: Iterable[Item],
+        now: Steady,
+    ) -> None:
+        """Takes over the records. Every recorded placement may be on its machine."""
+        for item in job_items:
+            self.learn_job(item, now)
+        orphans: list[tuple[str, Revision]] = []
+        loaded: list[Placement] = []
+        for item in place_items:
+            job_id, _, number = item.key[len(PLACE) :].rpartition("/")
+            job = self.jobs.get(JobId(job_id))
+            if job is None:
+                orphans.append((item.key, item.version))
+                continue
+            loaded += self.jobs.load_chunk(job, int(number), item.value, item.version, now)
+        for item in gone_items:
+            job = self.jobs.get(JobId(item.key[len(GONE) :]))
+            if job is None:
+                orphans.append((item.key, item.version))
+                continue
+            job.ended = end_of(item.value)
+            job.cancelled = job.ended == users.CANCELLED
+            job.cancelled_at = now
+            job.marked = True
+            self._cleaning[job.id] = job
+        self._orphans = orphans
+        for job in self.jobs.jobs.values():
+            self.jobs.finish_load(job)
+            if job.complete and job.ended is None:
+                self._ending[job.id] = job
+        heard = Steady(now + self.tuning.takeover_grace_s)
+        for p in loaded:
+            m = self.fleet.get(p.machine)
+            if m is None:
+                # Type and zone come with its report; until then it takes nothing new.
+                m = self.fleet.add(p.machine, _unknown_type("?"), "?", True, Life.UP, now, heard)
+            self.fleet.occupy(m, p)
+            p.stopping = p.job.cancelled
+            p.stop_since = now
+        log.info(
+            "took over epoch=%d jobs=%d placements=%d orphans=%d",
+            self.epoch, len(self.jobs.jobs), len(loaded), len(orphans),
+        )  # fmt: skip
+
+    def learn_job(self, item: Item, now: Steady) -> None:
+        """A job record, from a read or a watch."""
+        job_id = JobId(item.key[len(JOB) :])
+        if job_id in self.jobs:
+            return
+        try:
+            spec, size, at = parse_job_record(job_id, item.value)
+        except (Malformed, KeyError, TypeError, ValueError) as err:
+            log.error("job record unreadable job=%s: %s", job_id, err)
+            return
+        self.add_job(spec, size, WallTime(at), now)
+
+    def add_job(self, spec: JobSpec, size: int, at: WallTime, now: Steady) -> None:
+        if spec.id in self.jobs:
+            return
+        arrived = Steady(min(now, at - self._zero_wall))
+        self.jobs.add(spec, size, arrived)
+        self._plan_wanted = True
+        self._rental_due = now
+        log.info(
+            "job accepted job=%s class=%s team=%s tasks=%d cpus=%g image=%s",
+            spec.id, spec.klass, spec.team, spec.tasks, spec.cpus, spec.image,
+        )  # fmt: skip
+
+    # ------------------------------------------------------------------ users
+
+    def status(self, job_id: JobId) -> JobStatus | Verdict:
+        job = self.jobs.get(job_id)
+        if job is None:
+            return Verdict.UNKNOWN_JOB
+        if job.ended is not None:
+            return JobStatus(job.ended, job.done_count, 0)
+        if job_id in self._ending:
+            # The end may be durable already and told elsewhere; an older answer would go back.
+            return Verdict.UNDECIDED
+        state = users.RUNNING if job.running else users.PENDING
+        return JobStatus(state, job.done_count, job.running)
+
+    def cancel(self, job_id: JobId, now: Steady) -> str | Verdict:
+        """The final state if it is durable; UNDECIDED: wait for `finished`."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return Verdict.UNKNOWN_JOB
+        if job.ended is not None:
+            return job.ended
+        if not job.cancelled and not job.complete:
+            job.cancelled = True
+            job.cancelled_at = now
+            self._ending[job_id] = job
+            self._stop_all(job, now)
+            log.info("cancel asked job=%s", job_id)
+        return Verdict.UNDECIDED
+
+    def _stop_all(self, job: Job, now: Steady) -> None:
+        for p in list(job.placements()):
+            if p.phase is Phase.ENDED:
+                continue
+            if not p.stopping:
+                p.stopping = True
+                p.stop_since = now
+            if not p.maybe_there:
+                # No launch was ever sent: it is nowhere.
+                self._void(p, now)
+
+    # ------------------------------------------------------------------ workers
+
+    def on_report(self, r: workers.Report, now: Steady) -> list[workers.Command] | None:
+        """The commands to answer with; None: the report is older than one already seen."""
+        m = self.fleet.get(r.machine)
+        if m is None:
+            if self.fleet.is_gone(r.machine):
+                # Its deletion was answered: this is a late copy and proves nothing.
+                return None
+            kind = self.types.get(r.type) or _unknown_type(r.type)
+            m = self.fleet.add(r.machine, kind, r.zone, r.spot, Life.UP, now, now)
+            log.info("machine adopted machine=%s type=%s zone=%s", m.id, r.type, r.zone)
+        if r.order <= m.order:
+            # Held back by the network: what it says has been overtaken.
+            return None
+        m.order = r.order
+        m.last_heard = now
+        if m.type.name != r.type or m.zone != r.zone or m.spot != r.spot:
+            self._describe(m, r)
+        m.address = r.address
+        if m.life is Life.BOOTING:
+            m.life = Life.UP
+            m.idle_since = now
+            self._plan_wanted = True
+            log.info("machine up machine=%s after=%.1f", m.id, now - m.hired)
+        if r.notice_s is not None and m.notice_at is None:
+            m.notice_at = now
+            m.draining = True
+            log.info("spot notice machine=%s seconds=%.0f", m.id, r.notice_s)
+            self._rental_due = now
+        if r.epoch != self.epoch:
+            # The worker has not seen this epoch: an older leader's response may still be obeyed,
+            # so what this report lacks is no proof.
+            return []
+        if not m.confirmed:
+            m.confirmed = True
+            self._plan_wanted = True
+        return self._reconcile(m, r, now)
+
+    def _describe(self, m: Machine, r: workers.Report) -> None:
+        """The report knows best what the machine is."""
+        kind = self.types.get(r.type) or _unknown_type(r.type)
+        m.free_cpus += kind.cpus - m.type.cpus
+        m.free_gpus += kind.gpus - m.type.gpus
+        m.free_memory += kind.memory_gb - m.type.memory_gb
+        m.type, m.zone, m.spot = kind, r.zone, r.spot
+
+    def _reconcile(self, m: Machine, r: workers.Report, now: Steady) -> list[workers.Command]:
+        calls: list[workers.Command] = []
+        seen: set[Placement] = set()
+        foreign = False
+        for t in r.tasks:
+            p = m.placed.get(t.key)
+            if p is None or p.attempt != t.attempt:
+                # Not ours any more, or another attempt: out with it.
+                if t.state == workers.EXITED:
+                    calls.append(workers.Clear(t.key, t.attempt))
+                else:
+                    calls.append(workers.Kill(t.key, t.attempt, 0.0))
+                    foreign = True
+                    if p is None:
+                        log.info("unknown task machine=%s task=%s", m.id, t.key)
+                if p is not None:
+                    seen.add(p)  # a launch beside it would be refused; wait until it is cleared
+                continue
+            seen.add(p)
+            p.maybe_there = True
+            if p.phase is Phase.ENDED:
+                continue  # done, not yet durable: no clear yet
+            if t.state == workers.EXITED:
+                self._exited(m, p, t.why, now)
+                if t.key not in m.placed:
+                    calls.append(workers.Clear(t.key, t.attempt))
+                continue
+            if not p.reported:
+                p.reported = True
+                self.fleet.note_image(m, p.job.spec.image, p.job.spec.image_gb)
+            if t.state == workers.TASK_RUNNING:
+                self.jobs.set_phase(p, Phase.RUNNING, now)
+            elif t.state == workers.SAVING:
+                self.jobs.set_phase(p, Phase.SAVING, now)
+            else:
+                self.jobs.set_phase(p, Phase.FETCHING, now)
+            if p.stopping:
+                calls.append(workers.Kill(t.key, t.attempt, self._grace(p)))
+        if m.foreign and not foreign:
+            self._plan_wanted = True
+        m.foreign = foreign
+        for p in list(m.placed.values()):
+            if p in seen or p.phase is Phase.ENDED or p.phase is Phase.PLANNED:
+                continue
+            if p.stopping or p.job.cancelled:
+                self._void(p, now)
+            elif p.reported:
+                # It was there and a newer report lacks it: its session ended.
+                log.info("task lost machine=%s task=%s attempt=%d", m.id, p.key, p.attempt)
+                self._void(p, now)
+            elif m.life is Life.UP and not m.draining:
+                # Again if need be: absence from a newer report shows that a launch was dropped.
+                p.maybe_there = True
+                calls.append(workers.Launch(p.key, p.attempt))
+            else:
+                self._void(p, now)
+        return calls
+
+    def _grace(self, p: Placement) -> float:
+        # A cancelled job's work is of no use; otherwise let the task save.
+        return 0.0 if p.job.cancelled else p.job.spec.save_s
+
+    def _exited(self, m: Machine, p: Placement, why: str | None, now: Steady) -> None:
+        job = p.job
+        ran = now - p.since if p.phase is Phase.RUNNING else 0.0
+        if why == workers.WHY_DONE:
+            self.jobs.finish(p, now)
+            self.fleet.release(m, p, now)
+            self._dirty[job.id] = job
+            self._plan_wanted = True
+            if self.health.task_done(m, job, ran):
+                self._quarantine(m, "slow", now)
+            if job.cancelled:
+                self.jobs.drop(p, now, again=False)
+                self.fleet.forget(m, p)
+            elif job.complete:
+                self._ending[job.id] = job
+            return
+        if why == workers.WHY_ERROR and not p.stopping:
+            log.info("task failed machine=%s task=%s attempt=%d", m.id, p.key, p.attempt)
+            if self.health.task_failed(m, job, now):
+                self._quarantine(m, "failing", now)
+        elif why in (workers.WHY_NO_ROOM, workers.WHY_BUSY, workers.WHY_UNKNOWN):
+            log.info("start refused machine=%s task=%s why=%s", m.id, p.key, why)
+            m.refuse_until = Steady(now + 2 * self.settings.report_s)
+            if why == workers.WHY_UNKNOWN:
+                job.hold_until = Steady(now + self.tuning.error_backoff_s)
+        self._void(p, now)
+
+    def _quarantine(self, m: Machine, why: str, now: Steady) -> None:
+        if m.quarantined:
+            return
+        m.quarantined = True
+        m.draining = True
+        self._rental_due = now
+        log.info("machine quarantined machine=%s why=%s jobs=%s", m.id, why, sorted(m.failed_jobs))
+
+    def _void(self, p: Placement, now: Steady) -> None:
+        """The task is proven not to be on its machine."""
+        m = self.fleet.get(p.machine)
+        if m is not None:
+            if p.phase is not Phase.ENDED:
+                self.fleet.release(m, p, now)
+            self.fleet.forget(m, p)
+        if p.phase is Phase.ENDED:
+            return  # done; only the record is outstanding
+        self.jobs.drop(p, now, again=True)
+        self._dirty[p.job.id] = p.job
+        self._plan_wanted = True
+
+    # ------------------------------------------------------------------ time
+
+    def tick(self, now: Steady) -> None:
+        gap = now - self._last_tick
+        self._last_tick = now
+        if gap > 1.0:
+            # This process stood still: the silence was its own.
+            for m in self.fleet.machines.values():
+                m.last_heard = Steady(m.last_heard + gap)
+        self._watch_machines(now)
+        if now >= self._rental_due:
+            self._rental_due = Steady(now + 1.0)
+            self._rent(now)
+        since = now - self._planned
+        if since >= 1.0 or (self._plan_wanted and since >= self.tuning.plan_interval_s):
+            self._plan(now)
+
+    @property
+    def patience(self) -> float:
+        reports: float = self.tuning.silence_reports * self.settings.report_s
+        least: float = self.tuning.silence_least_s
+        return max(least, reports)
+
+    def _watch_machines(self, now: Steady) -> None:
+        patience = self.patience
+        kill_patience = self.settings.cancel_s * 0.6
+        for m in self.fleet.machines.values():
+            if m.life is Life.LEAVING:
+                continue
+            if m.life is Life.UP and now - m.last_heard > patience:
+                log.info("machine silent machine=%s seconds=%.1f", m.id, now - m.last_heard)
+                self._doom(m, now)
+            elif m.life is Life.BOOTING:
+                limit = max(self.tuning.boot_patience * m.type.boot_s, 10.0)
+                if now - m.hired > limit + self.settings.list_lag_s:
+                    log.info("machine late machine=%s seconds=%.1f", m.id, now - m.hired)
+                    self._doom(m, now)
+            elif m.quarantined and not m.live:
+                self._doom(m, now)
+            elif m.placed:
+                for p in m.placed.values():
+                    if p.stopping and p.job.cancelled and now - p.stop_since > kill_patience:
+                        log.info("kill overdue machine=%s task=%s", m.id, p.key)
+                        self._doom(m, now)
+                        break
+
+    def _doom(self, m: Machine, now: Steady) -> None:
+        m.life = Life.LEAVING
+        m.draining = True
+        self._doomed[m.id] = None
+        self._rental_due = now
+
+    def _rent(self, now: Steady) -> None:
+        if not self.types:
+            return
+        self.rental.measure(self.jobs.jobs.values(), 0.0, now)
+        machines = self.fleet.machines.values()
+        # After a take-over the fleet is not known yet: renting now would double it.
+        settled = now - self._began > 2 * self.settings.list_lag_s or self._list_seen
+        if settled:
+            prefix = f"{self.settings.label}-{self.epoch}"
+            self._hire_queue += self.rental.plan(machines, self.types, prefix, now)
+        for m in self.rental.surplus(machines, now):
+            log.info("machine returned machine=%s idle=%.0f", m.id, now - m.idle_since)
+            self._doom(m, now)
+
+    # ------------------------------------------------------------------ placing
+
+    def _plan(self, now: Steady) -> None:
+        self._plan_wanted = False
+        self._planned = now
+        waiting = []
+        for j in self.jobs.jobs.values():
+            if j.pending and not j.cancelled and j.ended is None:
+                if j.hold_until > now:
+                    self._plan_wanted = True
+                    continue
+                waiting.append(j)
+        if not waiting:
+            return
+        machines = [m for m in self.fleet.machines.values() if m.usable and m.free_cpus > 0]
+        if not machines:
+            return
+        teams = self.settings.teams
+        waiting.sort(key=lambda j: rules.order_key(j, self.fleet, teams, now))
+        full: set[tuple[Any, ...]] = set()
+        for job in waiting:
+            spec = job.spec
+            shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
+            if shape in full:
+                continue
+            choices = rules.choose(job, job.pending, machines, self.fleet, teams, now)
+            if not choices and not (spec.together or spec.spread or job.bad_machines):
+                if rules.team_room(spec, self.fleet, teams) > 0:
+                    full.add(shape)
+                continue
+            for choice in choices:
+                for index in self.jobs.next_tasks(job, choice.number):
+                    p = self.jobs.place(job, index, choice.machine.id, now)
+                    self.fleet.occupy(choice.machine, p)
+                self._dirty[job.id] = job
+                log.debug(
+                    "placed job=%s machine=%s tasks=%d", job.id, choice.machine.id, choice.number
+                )
+
+    # ------------------------------------------------------------------ state service
+
+    def next_txn(self, now: Steady, ops: int) -> PendingTxn | None:
+        """The next transaction of at most `ops` changes; one is under way at a time, because
+        a version is needed for the next write of the same record."""
+        if self._txn is not None or self.reread or self.reread_under_way or ops < 1:
+            return None
+        ops = min(ops, self.settings.txn_ops)
+        pending = PendingTxn(Txn({LEAD_KEY: Revision(self.epoch)}))
+        self._add_ends(pending, ops)
+        self._add_chunks(pending, ops, now)
+        self._add_cleanups(pending, ops)
+        if not pending.txn.writes:
+            return None
+        self._txn = pending
+        return pending
+
+    @property
+    def ends_waiting(self) -> bool:
+        return bool(self._ending)
+
+    def _add_ends(self, pending: PendingTxn, ops: int) -> None:
+        txn = pending.txn
+        for job in self._ending.values():
+            how = users.CANCELLED if job.cancelled else users.DONE
+            stored = [c for c in job.chunks.values() if c.version]
+            whole = how == users.DONE and len(stored) <= 3
+            need = 2 + len(stored) if whole else 2
+            if len(txn.writes) + need > ops:
+                if whole and need > ops:
+                    whole, need = False, 2
+                if len(txn.writes) + need > ops:
+                    break
+            txn.guards[END + job.id] = ABSENT
+            txn.writes.append(Put(END + job.id, {"e": how, "n": job.spec.tasks}))
+            pending.ends.append((job, how))
+            pending.size += 250
+            if whole:
+                txn.writes.append(Drop(JOB + job.id))
+                txn.writes += [Drop(place_key(job.id, c.number)) for c in stored]
+                pending.cleanups.append((job, [c.number for c in stored], True))
+            else:
+                # The marker tells a later leader that this job only waits to be cleaned up.
+                txn.writes.append(Put(GONE + job.id, {"e": how}))
+
+    def _add_chunks(self, pending: PendingTxn, ops: int, now: Steady) -> None:
+        txn = pending.txn
+        for urgent in (True, False):
+            for job in list(self._dirty.values()):
+                if job.ended is not None or job.id in self._ending:
+                    # The end covers the record; what it still lists is checked against reports.
+                    for c in job.chunks.values():
+                        c.dirty = c.urgent = False
+                    del self._dirty[job.id]
+                    continue
+                left = False
+                for c in job.chunks.values():
+                    if not c.dirty:
+                        continue
+                    left = True
+                    if c.urgent is not urgent:
+                        continue
+                    if not urgent and now - c.dirty_since < self.tuning.flush_done_s:
+                        continue
+                    key = place_key(job.id, c.number)
+                    if len(txn.writes) >= ops or key in txn.guards:
+                        continue
+                    record = job.record(c)
+                    size = len(orjson.dumps(record)) + 2 * len(key) + 60
+                    if pending.size + size > TXN_BYTES:
+                        continue
+                    pending.size += size
+                    txn.guards[key] = c.version
+                    txn.writes.append(Put(key, record))
+                    planned = [p for p in c.placements.values() if p.phase is Phase.PLANNED]
+                    ended = [p for p in c.placements.values() if p.phase is Phase.ENDED]
+                    c.dirty = c.urgent = False
+                    pending.chunks.append((job, c, planned, ended))
+                if not left:
+                    self._dirty.pop(job.id, None)
+
+    def _add_cleanups(self, pending: PendingTxn, ops: int) -> None:
+        txn = pending.txn
+        for job in self._cleaning.values():
+            left = ops - len(txn.writes)
+            if left < 2:
+                return
+            if any(p.phase is not Phase.ENDED for p in job.placements()):
+                continue
+            stored = [c.number for c in job.chunks.values() if c.version]
+            final = len(stored) + 2 <= left
+            numbers = stored if final else stored[: left - 2]
+            txn.writes += [Drop(place_key(job.id, n)) for n in numbers]
+            if final:
+                txn.writes += [Drop(JOB + job.id), Drop(GONE + job.id)]
+            pending.cleanups.append((job, numbers, final))
+        while self._orphans and len(txn.writes) < ops:
+            key, version = self._orphans.pop()
+            txn.guards[key] = version
+            txn.writes.append(Drop(key))
+
+    def txn_done(
+        self,
+        pending: PendingTxn,
+        outcome: Outcome,
+        revision: Revision,
+        failed: tuple[str, ...],
+        now: Steady,
+    ) -> bool:
+        """Returns whether this leader is deposed."""
+        self._txn = None
+        if outcome is Outcome.OK:
+            self._committed(pending, revision, now)
+            return False
+        for job, c, _, _ in pending.chunks:
+            self.jobs.touch(job, c, now, urgent=True)
+            self._dirty[job.id] = job
+        if outcome is Outcome.CONFLICT and LEAD_KEY in failed:
+            return True
+        if outcome is Outcome.REFUSED:
+            return False
+        # An earlier try of one of these writes was applied, or this one may be: only the keys
+        # themselves can tell their versions.
+        for job, c, _, _ in pending.chunks:
+            self.reread.add(place_key(job.id, c.number))
+        for job, _ in pending.ends:
+            self.reread.add(END + job.id)
+        return False
+
+    def reread_done(self, key: str, item: Item | None, now: Steady) -> None:
+        self.reread.discard(key)
+        if key.startswith(END):
+            job = self.jobs.get(JobId(key[len(END) :]))
+            if job is not None and item is not None and job.ended is None:
+                self._ended(job, end_of(item.value), now)
+                job.marked = True
+                self._cleaning[job.id] = job
+            return
+        job_id, _, number = key[len(PLACE) :].rpartition("/")
+        job = self.jobs.get(JobId(job_id))
+        if job is not None and int(number) in job.chunks:
+            job.chunks[int(number)].version = ABSENT if item is None else item.version
+
+    def _committed(self, pending: PendingTxn, revision: Revision, now: Steady) -> None:
+        for job, how in pending.ends:
+            self._ended(job, how, now)
+            self._cleaning[job.id] = job
+        for _, c, planned, ended in pending.chunks:
+            c.version = revision
+            for p in planned:
+                if p.phase is Phase.PLANNED:
+                    p.phase = Phase.WANTED
+            for p in ended:
+                if c.placements.get(p.index) is p:
+                    del c.placements[p.index]
+                m = self.fleet.get(p.machine)
+                if m is not None:
+                    self.fleet.forget(m, p)
+        for job, numbers, final in pending.cleanups:
+            for n in numbers:
+                if n in job.chunks:
+                    job.chunks[n].version = ABSENT
+            if final:
+                self._cleaning.pop(job.id, None)
+                self.jobs.remove(job)
+                for p in job.placements():
+                    m = self.fleet.get(p.machine)
+                    if m is not None:
+                        self.fleet.forget(m, p)
+
+    def _ended(self, job: Job, how: str, now: Steady) -> None:
+        job.ended = how
+        self._ending.pop(job.id, None)
+        if how == users.CANCELLED and not job.cancelled:
+            job.cancelled = True
+            job.cancelled_at = now
+        self._stop_all(job, now)
+        self.finished.append((job.id, how))
+        self._plan_wanted = True
+        log.info("job ended job=%s how=%s seconds=%.1f", job.id, how, now - job.arrived)
+
+    def take_finished(self) -> list[tuple[JobId, str]]:
+        out, self.finished = self.finished, []
+        return out
+
+    # ------------------------------------------------------------------ cloud
+
+    def next_cloud(self, now: Steady) -> CloudCall | None:
+        """The next call; deletions first, since proof of an empty place hangs on them."""
+        if now < self._cloud_pause:
+            return None
+        if self._doomed and "delete" not in self._cloud_busy:
+            self._cloud_busy.add("delete")
+            return Delete(tuple(self._doomed)[: cloud.MAX_DELETE])
+        if (not self.types or now >= self._catalog_due) and "catalog" not in self._cloud_busy:
+            self._cloud_busy.add("catalog")
+            return GetCatalog()
+        if self._hire_queue and "rent" not in self._cloud_busy:
+            self._cloud_busy.add("rent")
+            hire = self._hire_queue.pop(0)
+            if not hire.sent:
+                hire.sent = now
+            return Rent(hire)
+        if now >= self._list_due and "list" not in self._cloud_busy:
+            self._cloud_busy.add("list")
+            return ListPage(self._list_after)
+        return None
+
+    def cloud_done(self, call: CloudCall, status: int | None, body: bytes, now: Steady) -> None:
+        """`status` None: no answer. A malformed answer counts as none."""
+        try:
+            self._cloud_answer(call, status, body, now)
+        except Malformed as err:
+            log.error("cloud answer malformed call=%s: %s", type(call).__name__, err)
+            self._cloud_answer(call, None, b"", now)
+
+    def _cloud_answer(self, call: CloudCall, status: int | None, body: bytes, now: Steady) -> None:
+        trouble = status is None or status == 429 or (status >= 500 and not _no_capacity(body))
+        if trouble:
+            self._cloud_pause = Steady(now + 1.0)
+        match call:
+            case Delete(machines):
+                if status == 200:
+                    for machine in machines:
+                        self._deleted(machine, now)
+                self._cloud_busy.discard("delete")
+            case Rent(hire):
+                self._rented(hire, status, body, now)
+                self._cloud_busy.discard("rent")
+            case ListPage():
+                if status == 200:
+                    listed, more = cloud.parse_list(body)
+                    self._listed(listed, now)
+                    self._list_after = listed[-1].id if more and listed else None
+                    if not more:
+                        self._list_seen = True
+                if status != 200 or self._list_after is None:
+                    pause = max(1.0, self.settings.list_lag_s / 2)
+                    self._list_due = Steady(now + pause)
+                self._cloud_busy.discard("list")
+            case GetCatalog():
+                if status == 200:
+                    self._new_catalog(cloud.parse_catalog(load_answer(body)), now)
+                    self._catalog_due = Steady(now + 60.0)
+                self._cloud_busy.discard("catalog")
+
+    def _new_catalog(self, types: dict[str, MachineType], now: Steady) -> None:
+        if types != self.types:
+            self.catalog_changed = True
+        first = not self.types
+        self.types = types
+        for m in self.fleet.machines.values():
+            kind = types.get(m.type.name)
+            if kind is not None and kind is not m.type:
+                m.free_cpus += kind.cpus - m.type.cpus
+                m.free_gpus += kind.gpus - m.type.gpus
+                m.free_memory += kind.memory_gb - m.type.memory_gb
+                m.type = kind
+        if first:
+            self._plan_wanted = True
+            self._rental_due = now
+
+    def _deleted(self, machine: MachineId, now: Steady) -> None:
+        self._doomed.pop(machine, None)
+        m = self.fleet.get(machine)
+        if m is None:
+            return
+        placed = list(m.placed.values())
+        log.info("machine gone machine=%s tasks=%d", machine, len(placed))
+        for p in placed:
+            self._void(p, now)
+        self.fleet.remove(m)
+
+    def _rented(self, hire: Hire, status: int | None, body: bytes, now: Steady) -> None:
+        offer = hire.offer
+        if status == 200:
+            machines = cloud.parse_rented(body)
+            self.rental.hires.pop(hire.request, None)
+            for machine in machines:
+                if self.fleet.get(machine) is None and not self.fleet.is_gone(machine):
+                    kind = self.types[offer.type]
+                    self.fleet.add(
+                        machine, kind, offer.zone, offer.spot, Life.BOOTING, hire.sent, now
+                    )
+            log.info(
+                "rented type=%s zone=%s spot=%s asked=%d got=%d request=%s",
+                offer.type, offer.zone, offer.spot, hire.number, len(machines), hire.request,
+            )  # fmt: skip
+            if len(machines) < hire.number:
+                self.rental.refuse(offer, now)
+                self._rental_due = now
+        elif status == 503 and _no_capacity(body):
+            self.rental.hires.pop(hire.request, None)
+            self.rental.refuse(offer, now)
+            self._rental_due = now
+            log.info("refused type=%s zone=%s spot=%s", offer.type, offer.zone, offer.spot)
+        elif status == 400:
+            self.rental.hires.pop(hire.request, None)
+            self.rental.refuse(offer, now)
+            log.error("rental malformed request=%s", hire.request)
+        else:
+            # Nobody knows whether it was carried out: the same name gets the same answer.
+            self._hire_queue.append(hire)
+
+    def _listed(self, listed: list[cloud.ListedMachine], now: Steady) -> None:
+        for item in listed:
+            if self.fleet.is_gone(item.id):
+                continue
+            m = self.fleet.get(item.id)
+            if m is None:
+                kind = self.types.get(item.type) or _unknown_type(item.type)
+                hired = Steady(now - item.age_s)
+                life = Life.UP if item.state == cloud.UP else Life.BOOTING
+                # It may report to another node, or be new: it gets a full patience.
+                heard = Steady(now + self.tuning.takeover_grace_s)
+                m = self.fleet.add(item.id, kind, item.zone, item.spot, life, hired, heard)
+                log.info("machine listed machine=%s state=%s", m.id, item.state)
+            if item.state == cloud.FAILED and m.life is not Life.LEAVING:
+                log.info("machine failed machine=%s", m.id)
+                self._doom(m, now)
+
+
+def _no_capacity(body: bytes) -> bool:
+    return b"no capacity" in body
+
+
+def _unknown_type(name: str) -> MachineType:
+    """Stands for a type the catalogue does not hold: nothing is placed there."""
+    return MachineType(name, 0.0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0, 60.0, ())
+
+
+__all__ = ["CloudCall", "Controller", "JobStatus", "Offer", "Outcome", "PendingTxn", "Verdict"]
--- /dev/null
+++ b/src/eldercart/core/jobs.py
@@ -0,0 +1,266 @@
+"""Jobs, their tasks and placements, and the records that make them durable.
+
+A job's tasks are cut into chunks that fit the state service's value limit; a chunk's record holds
+the done tasks as ranges, the placements, and the highest attempt used, from which attempts grow.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import Any
+
+from eldercart.units import (
+    ABSENT,
+    Attempt,
+    JobId,
+    MachineId,
+    Revision,
+    Steady,
+    TaskKey,
+    task_key,
+)
+from eldercart.wire import Malformed
+from eldercart.wire.users import CANCELLED, DONE, JobSpec, spec_from_record, spec_to_record
+
+JOB, END, PLACE, GONE = "job/", "end/", "place/", "gone/"
+ENTRY_BYTES = 48  # the most that one placement takes in a record
+
+
+def chunk_size(value_bytes: int) -> int:
+    return max(8, min(500, int(value_bytes * 0.8) // ENTRY_BYTES))
+
+
+def place_key(job: JobId, number: int) -> str:
+    return f"{PLACE}{job}/{number:05d}"
+
+
+class Phase(IntEnum):
+    PLANNED = 0  # not yet durable: nothing may be sent
+    WANTED = 1  # durable; launched or to be launched
+    FETCHING = 2
+    RUNNING = 3
+    SAVING = 4
+    ENDED = 5  # over; stays until the record says so
+
+
+@dataclass(slots=True, eq=False)
+class Placement:
+    key: TaskKey
+    job: "Job"
+    index: int
+    attempt: Attempt
+    machine: MachineId
+    phase: Phase = Phase.PLANNED
+    maybe_there: bool = False  # a launch was sent, or may have been by an earlier leader
+    stopping: bool = False
+    stop_since: Steady = Steady(0)
+    since: Steady = Steady(0)  # start of running, as seen here
+    reported: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Chunk:
+    number: int
+    version: Revision = ABSENT
+    attempt: Attempt = Attempt(0)
+    dirty: bool = False
+    urgent: bool = False  # holds a placement that waits to be launched
+    dirty_since: Steady = Steady(0)
+    placements: dict[int, Placement] = field(default_factory=dict)
+
+
+class Job:
+    """One job. Only the job book changes it."""
+
+    def __init__(self, spec: JobSpec, size: int, arrived: Steady) -> None:
+        self.spec = spec
+        self.id = spec.id
+        self.size = size
+        self.arrived = arrived
+        self.done = bytearray(spec.tasks)
+        self.done_count = 0
+        self.running = 0
+        self.chunks: dict[int, Chunk] = {}
+        self.fresh = 0  # the first task never placed
+        self.again: list[int] = []  # tasks to place once more
+        self.cancelled = False  # asked for; durable once `ended` is set
+        self.cancelled_at = Steady(0)
+        self.ended: str | None = None
+        self.marked = False  # the clean-up marker is durable
+        self.errors = 0
+        self.hold_until = Steady(-1e9)
+        self.bad_machines: set[MachineId] = set()
+        self.bad_durations: float = 0.0
+        self.ran: list[float] = []  # run times seen, for comparison
+
+    @property
+    def pending(self) -> int:
+        return self.spec.tasks - self.fresh + len(self.again)
+
+    @property
+    def complete(self) -> bool:
+        return self.done_count == self.spec.tasks
+
+    def deadline(self) -> float:
+        due = self.spec.deadline_s
+        return float("inf") if due is None else self.arrived + due
+
+    def placements(self) -> Iterator[Placement]:
+        for chunk in self.chunks.values():
+            yield from chunk.placements.values()
+
+    def chunk_of(self, index: int) -> Chunk:
+        number = index // self.size
+        chunk = self.chunks.get(number)
+        if chunk is None:
+            chunk = self.chunks[number] = Chunk(number)
+        return chunk
+
+    def record(self, chunk: Chunk) -> dict[str, Any]:
+        low = chunk.number * self.size
+        high = min(low + self.size, self.spec.tasks)
+        ranges: list[list[int]] = []
+        for i in range(low, high):
+            if self.done[i]:
+                if ranges and ranges[-1][1] == i - 1:
+                    ranges[-1][1] = i
+                else:
+                    ranges.append([i, i])
+        running = [
+            [p.index, p.attempt, p.machine]
+            for p in chunk.placements.values()
+            if p.phase is not Phase.ENDED
+        ]
+        return {"a": chunk.attempt, "d": ranges, "r": running}
+
+
+class JobBook:
+    """Owns the jobs."""
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self.jobs: dict[JobId, Job] = {}
+
+    def __contains__(self, job: JobId) -> bool:
+        return job in self.jobs
+
+    def get(self, job: JobId) -> Job | None:
+        return self.jobs.get(job)
+
+    def add(self, spec: JobSpec, size: int, arrived: Steady) -> Job:
+        job = Job(spec, size, arrived)
+        self.jobs[spec.id] = job
+        return job
+
+    def remove(self, job: Job) -> None:
+        self.jobs.pop(job.id, None)
+
+    def load_chunk(
+        self, job: Job, number: int, value: Any, version: Revision, now: Steady
+    ) -> list[Placement]:
+        """Takes over a record of an earlier leader. Its placements may be on their machines."""
+        if not isinstance(value, dict):
+            raise Malformed("place record")
+        chunk = Chunk(number, version, Attempt(int(value["a"])))
+        job.chunks[number] = chunk
+        for low, high in value["d"]:
+            for i in range(low, high + 1):
+                if not job.done[i]:
+                    job.done[i] = 1
+                    job.done_count += 1
+        loaded = []
+        for index, attempt, machine in value["r"]:
+            p = Placement(
+                task_key(job.id, index), job, index, Attempt(attempt), MachineId(machine),
+                Phase.WANTED, maybe_there=True,
+            )  # fmt: skip
+            chunk.placements[index] = p
+            loaded.append(p)
+        return loaded
+
+    def finish_load(self, job: Job) -> None:
+        """Once all chunks are there: what is neither done nor placed waits."""
+        job.fresh = 0
+        job.again = []
+        if job.chunks:
+            job.fresh = min(job.spec.tasks, (max(job.chunks) + 1) * job.size)
+        for i in range(job.fresh):
+            if job.done[i]:
+                continue
+            chunk = job.chunks.get(i // job.size)
+            if chunk is None or i not in chunk.placements:
+                job.again.append(i)
+        job.again.reverse()
+
+    def next_tasks(self, job: Job, number: int) -> list[int]:
+        taken = []
+        while number > 0 and job.again:
+            taken.append(job.again.pop())
+            number -= 1
+        fresh = min(number, job.spec.tasks - job.fresh)
+        taken.extend(range(job.fresh, job.fresh + fresh))
+        job.fresh += fresh
+        return taken
+
+    def put_back(self, job: Job, index: int) -> None:
+        job.again.append(index)
+
+    def place(self, job: Job, index: int, machine: MachineId, now: Steady) -> Placement:
+        chunk = job.chunk_of(index)
+        chunk.attempt = Attempt(chunk.attempt + 1)
+        p = Placement(task_key(job.id, index), job, index, chunk.attempt, machine)
+        chunk.placements[index] = p
+        self.touch(job, chunk, now, urgent=True)
+        return p
+
+    def touch(self, job: Job, chunk: Chunk, now: Steady, urgent: bool = False) -> None:
+        if not chunk.dirty:
+            chunk.dirty = True
+            chunk.dirty_since = now
+        chunk.urgent = chunk.urgent or urgent
+
+    def set_phase(self, p: Placement, phase: Phase, now: Steady) -> None:
+        if phase is p.phase:
+            return
+        if phase is Phase.RUNNING:
+            p.since = now
+            p.job.running += 1
+        elif p.phase is Phase.RUNNING:
+            p.job.running -= 1
+        p.phase = phase
+
+    def finish(self, p: Placement, now: Steady) -> None:
+        """The task is done. The placement stays, ended, until the record says so."""
+        job = p.job
+        self.set_phase(p, Phase.ENDED, now)
+        if not job.done[p.index]:
+            job.done[p.index] = 1
+            job.done_count += 1
+        self.touch(job, job.chunk_of(p.index), now)
+
+    def drop(self, p: Placement, now: Steady, again: bool) -> None:
+        """The task is proven not to be on the machine."""
+        job = p.job
+        self.set_phase(p, Phase.ENDED, now)
+        chunk = job.chunk_of(p.index)
+        if chunk.placements.get(p.index) is p:
+            del chunk.placements[p.index]
+        self.touch(job, chunk, now)
+        if again and not job.cancelled and not job.done[p.index]:
+            job.again.append(p.index)
+
+
+def job_record(spec: JobSpec, size: int, at: float) -> dict[str, Any]:
+    return {"s": spec_to_record(spec), "n": size, "t": at}
+
+
+def parse_job_record(job: JobId, value: Any) -> tuple[JobSpec, int, float]:
+    if not isinstance(value, dict):
+        raise Malformed("job record")
+    return spec_from_record(job, value.get("s")), int(value["n"]), float(value["t"])
+
+
+def end_of(value: Any) -> str:
+    """The final state that an end record tells."""
+    cancelled = isinstance(value, dict) and value.get("e") == CANCELLED
+    return CANCELLED if cancelled else DONE
--- /dev/null
+++ b/src/eldercart/core/rental.py
@@ -0,0 +1,188 @@
+"""Renting and returning machines: demand, supply, refusals, late boots."""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from eldercart.core.fleet import Life, Machine
+from eldercart.core.jobs import Job
+from eldercart.settings import Tuning
+from eldercart.settings.platform import Team
+from eldercart.units import Steady
+from eldercart.wire.cloud import MAX_RENT, MachineType
+
+
+@dataclass(slots=True)
+class Demand:
+    """CPUs asked for now, and the remembered peak that decays."""
+
+    now: float = 0.0
+    peak: float = 0.0
+
+    def update(self, now: float, decay: float) -> None:
+        self.now = now
+        self.peak = max(now, self.peak * decay)
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    type: str
+    zone: str
+    spot: bool
+
+
+@dataclass(slots=True)
+class Hire:
+    request: str
+    offer: Offer
+    number: int
+    sent: Steady = Steady(0)
+
+
+@dataclass(slots=True)
+class Rental:
+    """Owns the demand figures, the refusals and the requests under way."""
+
+    tuning: Tuning
+    teams: dict[str, Team]
+    ordinary: Demand = field(default_factory=Demand)
+    any: Demand = field(default_factory=Demand)
+    refused: dict[Offer, Steady] = field(default_factory=dict)
+    hires: dict[str, Hire] = field(default_factory=dict)
+    _last: Steady | None = None
+    _counter: int = 0
+
+    def measure(self, jobs: Iterable[Job], booked: float, now: Steady) -> None:
+        ordinary = 0.0
+        by_team: dict[str, float] = {}
+        for job in jobs:
+            if job.cancelled or job.hold_until > now:
+                continue
+            spec = job.spec
+            cpus = spec.cpus * (spec.tasks - job.done_count)
+            team = self.teams.get(spec.team)
+            if team is not None and team.cpus_max > 0:
+                cpus = min(cpus, max(0.0, team.cpus_max - by_team.get(spec.team, 0.0)))
+            by_team[spec.team] = by_team.get(spec.team, 0.0) + cpus
+            if not spec.spot:
+                ordinary += cpus
+        elapsed = 0.0 if self._last is None else now - self._last
+        self._last = now
+        decay = 0.5 ** (elapsed / self.tuning.demand_memory_s)
+        self.ordinary.update(ordinary, decay)
+        self.any.update(sum(by_team.values()) + booked, decay)
+
+    def targets(self) -> tuple[float, float]:
+        share = 1.0 + self.tuning.headroom_share
+        return self.ordinary.peak * share, self.any.peak * share
+
+    def refuse(self, offer: Offer, now: Steady) -> None:
+        self.refused[offer] = Steady(now + self.tuning.refusal_s)
+
+    def plan(
+        self,
+        machines: Iterable[Machine],
+        types: dict[str, MachineType],
+        prefix: str,
+        now: Steady,
+    ) -> list[Hire]:
+        """What to rent now."""
+        supply_ordinary = supply_any = 0.0
+        zones: dict[tuple[str, bool], int] = {}
+        for m in machines:
+            if m.life in (Life.BOOTING, Life.UP) and not m.draining:
+                supply_any += m.type.cpus
+                if not m.spot:
+                    supply_ordinary += m.type.cpus
+                zones[m.zone, m.spot] = zones.get((m.zone, m.spot), 0) + 1
+        for hire in self.hires.values():
+            cpus = types[hire.offer.type].cpus * hire.number
+            supply_any += cpus
+            if not hire.offer.spot:
+                supply_ordinary += cpus
+        want_ordinary, want_any = self.targets()
+        hires: list[Hire] = []
+        short = want_ordinary - supply_ordinary
+        if short > 0:
+            got = self._rent(short, False, types, zones, prefix, now, hires)
+            supply_any += got
+        short = want_any - supply_any
+        if short > 0:
+            short -= self._rent(short, True, types, zones, prefix, now, hires)
+            if short > 0:
+                self._rent(short, False, types, zones, prefix, now, hires)
+        return hires
+
+    def _rent(
+        self, cpus: float, spot: bool, types: dict[str, MachineType],
+        zones: dict[tuple[str, bool], int], prefix: str, now: Steady, hires: list[Hire],
+    ) -> float:  # fmt: skip
+        """Asks for the cheapest offer that no recent refusal speaks against, one zone a time."""
+        offers = []
+        for kind in types.values():
+            price = kind.spot_price if spot else kind.price
+            if price <= 0 or kind.cpus <= 0:
+                continue
+            for zone in kind.zones:
+                offer = Offer(kind.name, zone, spot)
+                if self.refused.get(offer, Steady(-1e9)) > now or any(
+                    h.offer == offer for h in self.hires.values()
+                ):
+                    continue
+                # A machine that boots late is worth less to those who wait.
+                cost = price / kind.cpus * (1 + kind.boot_s / 60)
+                offers.append((cost, zones.get((zone, spot), 0), offer, kind))
+        offers.sort(key=lambda o: (o[0], o[1], o[2].zone))
+        got = 0.0
+        for i, (cost, _, offer, kind) in enumerate(offers):
+            left = cpus - got
+            if left <= 0:
+                break
+            same = sum(1 for o in offers[i:] if o[0] == cost)
+            number = min(MAX_RENT, max(1, math.ceil(left / kind.cpus / same)))
+            self._counter += 1
+            hire = Hire(f"{prefix}-{self._counter}", offer, number)
+            self.hires[hire.request] = hire
+            hires.append(hire)
+            got += number * kind.cpus
+        return got
+
+    def surplus(self, machines: Iterable[Machine], now: Steady) -> list[Machine]:
+        """Idle machines that neither demand nor booking needs."""
+        want_ordinary, want_any = self.targets()
+        supply_ordinary = supply_any = 0.0
+        idle = []
+        for m in machines:
+            if m.life not in (Life.BOOTING, Life.UP) or m.draining:
+                continue
+            supply_any += m.type.cpus
+            if not m.spot:
+                supply_ordinary += m.type.cpus
+            if (
+                m.life is Life.UP
+                and m.confirmed
+                and not m.placed
+                and not m.foreign
+                and now - m.idle_since >= self.tuning.idle_return_s
+            ):
+                idle.append(m)
+        # The dearest first.
+        idle.sort(
+            key=lambda m: -(m.type.spot_price if m.spot else m.type.price) / max(m.type.cpus, 1.0)
+        )
+        out = []
+        for m in idle:
+            cpus = m.type.cpus
+            if supply_any - cpus < want_any:
+                continue
+            if not m.spot and supply_ordinary - cpus < want_ordinary:
+                continue
+            supply_any -= cpus
+            if not m.spot:
+                supply_ordinary -= cpus
+            out.append(m)
+        return out
+
+
+def _price_per_cpu(m: Machine) -> float:
+    return (m.type.spot_price if m.spot else m.type.price) / max(m.type.cpus, 1.0)
--- /dev/null
+++ b/src/eldercart/election/__init__.py
@@ -0,0 +1,207 @@
+"""Leadership, as a state machine without I/O.
+
+The leader key in the state service hangs on a short lease there (the "hold"). Creating the key
+is the election; the key's version is the epoch, which workers compare as their fencing token and
+on which every write of the leader is guarded. Versions only grow, so epochs do.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from eldercart.units import ABSENT, Epoch, LeaseId, NodeId, Revision, Steady
+from eldercart.wire.state import Item, Put, Txn
+
+LEAD_KEY = "lead"
+
+
+class Role(Enum):
+    FOLLOWER = "follower"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLead:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class OpenHold:
+    life_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TouchHold:
+    hold: LeaseId
+
+
+@dataclass(frozen=True, slots=True)
+class DropHold:
+    hold: LeaseId
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    txn: Txn
+
+
+Action = ReadLead | OpenHold | TouchHold | DropHold | Claim
+
+
+class Election:
+    """One action is in flight at a time: `next_action`, carry it out, report its result."""
+
+    def __init__(self, label: NodeId, hold_s: float, drift_margin: float) -> None:
+        self.label = label
+        self.role = Role.FOLLOWER
+        self.epoch = Epoch(0)
+        self.leader: NodeId | None = None
+        self._life = hold_s
+        self._usable = hold_s * (1 - drift_margin)
+        self._hold: LeaseId | None = None
+        self._deadline = Steady(-1e9)
+        self._sent = Steady(0)
+        self._read_due = Steady(-1e9)
+        self._touch_due = Steady(-1e9)
+        self._absent = False  # the last read found no leader key
+        self._stale_hold: LeaseId | None = None
+        self._busy = False
+
+    # -- what others may ask
+
+    def within_lease(self, now: Steady) -> bool:
+        """Whether no other node can be leader now. Counted from before the renewal was sent."""
+        return self.role is Role.LEADER and now < self._deadline
+
+    # -- inputs
+
+    def lead_changed(self, now: Steady) -> None:
+        """A watch says that the leader key has changed."""
+        self._read_due = now
+
+    def saw_epoch(self, epoch: Epoch, now: Steady) -> bool:
+        """A peer's message or a worker's report carries a higher epoch: somebody else leads."""
+        if epoch <= self.epoch:
+            return False
+        if self.role is Role.LEADER:
+            self._step_down(now)
+            return True
+        self._read_due = now
+        return False
+
+    def deposed(self, now: Steady) -> None:
+        """A write guarded on the leader key failed on that guard."""
+        if self.role is Role.LEADER:
+            self._step_down(now)
+
+    def next_action(self, now: Steady) -> Action | None:
+        if self._busy:
+            return None
+        action = self._choose(now)
+        if action is not None:
+            self._busy = True
+            self._sent = now
+        return action
+
+    def next_wake(self, now: Steady) -> float:
+        due = self._touch_due if self.role is Role.LEADER else self._read_due
+        return max(0.0, due - now)
+
+    # -- decisions
+
+    def _choose(self, now: Steady) -> Action | None:
+        if self.role is Role.LEADER:
+            if now >= self._touch_due and self._hold is not None:
+                return TouchHold(self._hold)
+            return None
+        if self._stale_hold is not None:
+            return DropHold(self._stale_hold)
+        if self._absent:
+            if self._hold is None or now >= self._deadline:
+                return OpenHold(self._life)
+            txn = Txn({LEAD_KEY: ABSENT}, [Put(LEAD_KEY, {"node": self.label}, self._hold)])
+            return Claim(txn)
+        if now >= self._read_due:
+            return ReadLead()
+        return None
+
+    def failed(self, action: Action, now: Steady) -> None:
+        """No answer, 429 or 503: not carried out, or nobody knows."""
+        self._busy = False
+        pause = self._life / 16
+        if isinstance(action, TouchHold):
+            self._touch_due = Steady(now + pause)
+        elif isinstance(action, Claim):
+            # It may have been applied or may be yet: the key itself must tell.
+            self._absent = False
+            self._read_due = Steady(now + pause)
+        elif isinstance(action, DropHold):
+            self._stale_hold = None
+            self._read_due = Steady(now + pause)
+        else:
+            self._absent = False
+            self._read_due = Steady(now + pause)
+
+    def read(self, item: Item | None, now: Steady) -> None:
+        self._busy = False
+        self._absent = item is None
+        # The watch on the key is the usual alarm; this is the backstop if it hangs.
+        self._read_due = Steady(now + self._life / 2)
+        if item is None:
+            self.leader = None
+            return
+        node = item.value.get("node") if isinstance(item.value, dict) else None
+        if node == self.label:
+            if self._hold is not None and item.lease == self._hold and now < self._deadline:
+                self._lead(Epoch(item.version), now)  # a claim whose response was lost
+            elif item.lease is not None:
+                # Left by an earlier life of this process: nobody leads under it any more.
+                self._stale_hold = item.lease
+            return
+        self.leader = NodeId(node) if isinstance(node, str) else None
+        self.epoch = max(self.epoch, Epoch(item.version))
+
+    def opened(self, hold: LeaseId, now: Steady) -> None:
+        self._busy = False
+        self._hold = hold
+        self._deadline = Steady(self._sent + self._usable)
+
+    def touched(self, alive: bool, now: Steady) -> bool:
+        """Returns whether the node is deposed by this."""
+        self._busy = False
+        if alive:
+            self._deadline = Steady(self._sent + self._usable)
+            self._touch_due = Steady(self._sent + self._life / 5)
+            return False
+        self._step_down(now)
+        return True
+
+    def dropped(self, now: Steady) -> None:
+        self._busy = False
+        self._stale_hold = None
+        self._read_due = now
+
+    def claimed(self, revision: Revision | None, now: Steady, hold_lost: bool = False) -> None:
+        """The claim's answer; None: somebody else holds the key, or the hold has ended."""
+        self._busy = False
+        self._absent = False
+        if revision is None:
+            if hold_lost:
+                self._hold = None
+            self._read_due = now
+            return
+        self._lead(Epoch(revision), now)
+
+    def _lead(self, epoch: Epoch, now: Steady) -> None:
+        self.role = Role.LEADER
+        self.epoch = epoch
+        self.leader = self.label
+        self._absent = False
+        self._touch_due = now
+
+    def _step_down(self, now: Steady) -> None:
+        self.role = Role.FOLLOWER
+        self.leader = None
+        self._hold = None
+        self._deadline = Steady(-1e9)
+        self._read_due = now
+        self._absent = False
--- /dev/null
+++ b/src/eldercart/net/__init__.py
@@ -0,0 +1,1 @@
+"""The adapters: twisted, sockets and clocks. No decisions are made here."""
--- /dev/null
+++ b/src/eldercart/net/buckets.py
@@ -0,0 +1,45 @@
+"""Token buckets for calls to the state service and the cloud."""
+
+from eldercart.units import Steady
+
+
+class Bucket:
+    """A node's share of a rate limit. Callers of lesser urgency leave a reserve to the others:
+    they are served only while more than `reserve` (a share of the burst) would remain."""
+
+    def __init__(self, rate: float, burst: float, now: Steady) -> None:
+        self._rate = rate
+        self._burst = max(1.0, burst)
+        self._tokens = self._burst
+        self._at = now
+
+    def set_rate(self, rate: float, burst: float, now: Steady) -> None:
+        self._refill(now)
+        self._rate = rate
+        self._burst = max(1.0, burst)
+        self._tokens = min(self._tokens, self._burst)
+
+    def _refill(self, now: Steady) -> None:
+        self._tokens = min(self._burst, self._tokens + (now - self._at) * self._rate)
+        self._at = now
+
+    def available(self, now: Steady, reserve: float = 0.0) -> int:
+        self._refill(now)
+        return int(self._tokens - reserve * self._burst)
+
+    def take(self, now: Steady, number: int = 1, reserve: float = 0.0) -> bool:
+        self._refill(now)
+        if self._tokens - number < reserve * self._burst - 1e-9:
+            return False
+        self._tokens -= number
+        return True
+
+    def force(self, now: Steady, number: int = 1) -> None:
+        """Takes tokens even if there are none: for what must not wait."""
+        self._refill(now)
+        self._tokens -= number
+
+    def drain(self, now: Steady) -> None:
+        """The service itself said that the limit is reached."""
+        self._refill(now)
+        self._tokens = min(self._tokens, 0.0)
--- /dev/null
+++ b/src/eldercart/net/client.py
@@ -0,0 +1,52 @@
+"""HTTP to one fixed host over kept connections."""
+
+import logging
+from collections.abc import Callable
+from io import BytesIO
+from typing import Any
+
+from twisted.internet import reactor as _reactor
+from twisted.internet.defer import Deferred
+from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+
+from eldercart.settings.platform import Endpoint
+
+reactor: Any = _reactor
+Answer = Callable[[int | None, bytes], None]
+_HEADERS = {b"Content-Type": [b"application/json"]}
+MAX_ANSWER = 16 * 1024 * 1024
+
+
+class HttpClient:
+    """Calls `answer(status, body)` exactly once; status None means that there was no answer."""
+
+    def __init__(self, endpoint: Endpoint, connect_timeout: float, connections: int) -> None:
+        self._base = f"http://{endpoint.host}:{endpoint.port}".encode()
+        pool = HTTPConnectionPool(reactor)
+        pool.maxPersistentPerHost = connections
+        pool.retryAutomatically = False  # a repeat is the core's decision
+        self._agent = Agent(reactor, connectTimeout=connect_timeout, pool=pool)
+
+    def request(
+        self, method: bytes, path: str, body: bytes | None, timeout: float, answer: Answer
+    ) -> None:
+        producer = None if body is None else FileBodyProducer(BytesIO(body))
+        headers = Headers(_HEADERS) if body is not None else Headers()
+        d: Deferred[Any] = self._agent.request(
+            method, self._base + path.encode(), headers, producer
+        )
+        status: list[int] = []
+
+        def got(response: Any) -> Deferred[bytes]:
+            status.append(response.code)
+            return readBody(response)
+
+        d.addCallback(got)
+        d.addTimeout(timeout, reactor)
+        d.addCallbacks(lambda data: answer(status[0], data), lambda _: answer(None, b""))
+        d.addErrback(_report)
+
+
+def _report(failure: Any) -> None:
+    logging.getLogger("eldercart.net").error("handler failed: %s", failure.getTraceback())
--- /dev/null
+++ b/src/eldercart/net/server.py
@@ -0,0 +1,113 @@
+"""The HTTP side shared by the front and the mesh: bounded bodies, JSON, no holding of requests."""
+
+import logging
+from collections.abc import Callable
+from io import BytesIO
+from typing import Any
+
+from twisted.internet import reactor as _reactor
+from twisted.web import http
+
+from eldercart.settings.platform import Endpoint
+from eldercart.wire.checks import MAX_BODY
+from eldercart.wire.users import error_body
+
+reactor: Any = _reactor
+log = logging.getLogger("eldercart.net")
+
+
+class JsonRequest(http.Request):
+    """One request. `reply` may be called later; a peer that has left is not answered."""
+
+    gone = False
+    too_long = False
+
+    def gotLength(self, length: int | None) -> None:
+        # Never a temporary file: /tmp counts as memory.
+        self.content = BytesIO()
+        self.too_long = length is not None and length > MAX_BODY
+
+    def handleContentChunk(self, data: bytes) -> None:
+        if self.too_long or self.content.tell() + len(data) > MAX_BODY:
+            self.too_long = True
+            return
+        self.content.write(data)
+
+    def process(self) -> None:
+        self.notifyFinish().addErrback(self._lost)
+        if self.too_long:
+            self.reply(400, error_body("body over 64 KiB"))
+            return
+        try:
+            self.channel.factory.route(self)
+        except Exception:
+            # A defect in one request must not end the loop or the connection of another.
+            log.exception("request failed path=%s", self.path[:100])
+            if not self.finished:
+                self.reply(503, error_body("internal"), retry_after=1)
+
+    def _lost(self, _: Any) -> None:
+        self.gone = True
+
+    def body(self) -> bytes:
+        value: bytes = self.content.getvalue()
+        return value
+
+    def reply(self, status: int, body: bytes, retry_after: int | None = None) -> None:
+        if self.gone or self.finished:
+            return
+        self.setResponseCode(status)
+        headers = self.responseHeaders
+        headers.setRawHeaders(b"content-type", [b"application/json"])
+        headers.setRawHeaders(b"content-length", [b"%d" % len(body)])
+        if retry_after is not None:
+            headers.setRawHeaders(b"retry-after", [b"%d" % retry_after])
+        self.write(body)
+        self.finish()
+
+
+class JsonChannel(http.HTTPChannel):
+    requestFactory = JsonRequest
+
+    def connectionMade(self) -> None:
+        self.factory.open += 1
+        # Small answers on kept connections: do not wait to fill a packet.
+        self.transport.setTcpNoDelay(True)
+        super().connectionMade()
+
+    def connectionLost(self, reason: Any) -> None:
+        self.factory.open -= 1
+        super().connectionLost(reason)
+
+
+class JsonFactory(http.HTTPFactory):
+    """Routes requests; closes connections beyond its bound at once, so that a crowd of idle or
+    hung peers leaves sockets for the calls that keep the service going."""
+
+    def __init__(self, route: Callable[[JsonRequest], None], most: int) -> None:
+        super().__init__(timeout=120, reactor=reactor)
+        self.route = route
+        self._most = most
+        self.open = 0
+
+    def log(self, request: Any) -> None:
+        """No access log."""
+
+    def startFactory(self) -> None:
+        """Without the clock that the access log would need."""
+
+    def stopFactory(self) -> None:
+        pass
+
+    def buildProtocol(self, addr: Any) -> Any:
+        if self.open >= self._most:
+            return None
+        channel = JsonChannel()
+        channel.factory = self
+        channel.callLater = reactor.callLater
+        channel.timeOut = self.timeOut
+        return channel
+
+
+def listen(endpoint: Endpoint, factory: JsonFactory) -> None:
+    reactor.listenTCP(endpoint.port, factory, backlog=256, interface=endpoint.host)
--- /dev/null
+++ b/src/eldercart/net/store.py
@@ -0,0 +1,165 @@
+"""Calls to the state service, within this node's share of its limits."""
+
+from collections.abc import Callable
+from typing import Any
+
+from eldercart.net.buckets import Bucket
+from eldercart.net.client import Answer, HttpClient
+from eldercart.settings import NodeSettings
+from eldercart.units import LeaseId, Revision, Steady
+from eldercart.wire import Malformed
+from eldercart.wire import state as wire
+from eldercart.wire.state import Item, Txn
+
+# Reserves by urgency, as shares of the burst: renewals take tokens whatever there is.
+FOR_ENDS, FOR_ACCEPTING, FOR_PLACING, FOR_POLLS = 0.0, 0.1, 0.3, 0.3
+TIMEOUT_S = 2.0
+
+
+class Store:
+    def __init__(self, settings: NodeSettings, clock: Callable[[], Steady]) -> None:
+        self._http = HttpClient(settings.state, 1.0, 8)
+        self._clock = clock
+        self._settings = settings
+        now = clock()
+        self.requests = Bucket(1, 1, now)
+        self.writes = Bucket(1, 1, now)
+        self.last_ok = now
+        self.failing_since: Steady | None = None
+        self.set_leader(False)
+
+    def set_leader(self, leader: bool) -> None:
+        """The leader writes most; the others need enough to accept and to answer."""
+        nodes = self._settings.nodes
+        share = 1.0 if nodes == 1 else (0.6 if leader else 0.4 / (nodes - 1))
+        now = self._clock()
+        # Below the limit, and half of its burst: two clocks never agree on where a second ends.
+        for bucket, rate in (
+            (self.requests, self._settings.state_rps),
+            (self.writes, self._settings.state_write_rps),
+        ):
+            bucket.set_rate(0.92 * rate * share, max(3.0, 0.8 * rate * share), now)
+
+    def _call(
+        self, method: bytes, path: str, body: bytes | None, timeout: float, answer: Answer
+    ) -> None:
+        def got(status: int | None, data: bytes) -> None:
+            now = self._clock()
+            if status is None or status in (429, 503):
+                if self.failing_since is None:
+                    self.failing_since = now
+                if status == 429:
+                    self.requests.drain(now)
+                    self.writes.drain(now)
+            else:
+                self.last_ok = now
+                self.failing_since = None
+            answer(status, data)
+
+        self._http.request(method, path, body, timeout, got)
+
+    def get(self, key: str, done: Callable[[bool, Item | None], None]) -> None:
+        """`done(True, item)`, `done(True, None)` for a 404, `done(False, None)` for no answer."""
+
+        def got(status: int | None, data: bytes) -> None:
+            try:
+                if status == 200:
+                    done(True, wire.parse_item(data))
+                    return
+            except Malformed:
+                status = None
+            done(status == 404, None)
+
+        self.requests.force(self._clock())
+        self._call(b"GET", wire.key_path(key), None, TIMEOUT_S, got)
+
+    def range(self, prefix: str, done: Callable[[list[Item] | None, Revision], None]) -> None:
+        """All items with the prefix, or None."""
+        items: list[Item] = []
+        first: list[Revision] = []
+
+        def page(after: str | None) -> None:
+            self.requests.force(self._clock())
+            self._call(b"GET", wire.range_path(prefix, after), None, 5.0, got)
+
+        def got(status: int | None, data: bytes) -> None:
+            try:
+                if status != 200:
+                    raise Malformed("status")
+                found, more, revision = wire.parse_range(data)
+            except Malformed:
+                done(None, Revision(0))
+                return
+            items.extend(found)
+            first.append(revision)
+            if more and found:
+                page(found[-1].key)
+            else:
+                # Changes after the first page may be missing from it: watch from there.
+                done(items, first[0])
+
+        page(None)
+
+    def txn(self, txn: Txn, done: Callable[[int | None, Revision, tuple[str, ...]], None]) -> None:
+        """`done(status, revision, failed keys)`; tokens are the caller's concern."""
+
+        def got(status: int | None, data: bytes) -> None:
+            try:
+                if status == 200:
+                    done(200, wire.parse_revision(data), ())
+                    return
+                if status == 409:
+                    done(409, Revision(0), wire.parse_failed(data))
+                    return
+            except Malformed:
+                status = None
+            done(status, Revision(0), ())
+
+        self._call(b"POST", "/txn", txn.body(), TIMEOUT_S, got)
+
+    def open_hold(self, life_ms: int, done: Callable[[LeaseId | None], None]) -> None:
+        def got(status: int | None, data: bytes) -> None:
+            try:
+                done(wire.parse_lease(data) if status == 200 else None)
+            except Malformed:
+                done(None)
+
+        self.requests.force(self._clock())
+        self._call(b"POST", "/holds", b'{"lifeMs":%d}' % life_ms, 1.0, got)
+
+    def touch_hold(self, hold: LeaseId, done: Callable[[bool | None], None]) -> None:
+        """True: alive; False: ended; None: nobody knows."""
+
+        def got(status: int | None, _: bytes) -> None:
+            done(True if status == 200 else False if status == 404 else None)
+
+        self.requests.force(self._clock())
+        self._call(b"POST", f"/holds/{hold}/touch", b"{}", 1.0, got)
+
+    def drop_hold(self, hold: LeaseId, done: Callable[[bool], None]) -> None:
+        self.requests.force(self._clock())
+        self._call(b"DELETE", f"/holds/{hold}", None, 1.0, lambda s, _: done(s in (200, 204, 404)))
+
+    def watch(
+        self,
+        prefix: str,
+        after: Revision,
+        wait_s: float,
+        done: Callable[[int | None, Revision, list[Any]], None],
+    ) -> None:
+        def got(status: int | None, data: bytes) -> None:
+            try:
+                if status == 200:
+                    revision, events = wire.parse_watch(data)
+                    done(200, revision, events)
+                    return
+            except Malformed:
+                status = None
+            done(status, after, [])
+
+        self.requests.force(self._clock())
+        path = wire.watch_path(prefix, after, int(wait_s * 1000))
+        self._http.request(b"GET", path, None, wait_s + 3.0, got)
+
+
+__all__ = ["FOR_ACCEPTING", "FOR_ENDS", "FOR_PLACING", "FOR_POLLS", "Store"]
--- /dev/null
+++ b/src/eldercart/settings/operator.py
@@ -0,0 +1,57 @@
+"""The operators' own settings: JSON beside a schema that holds units and defaults.
+
+The schema `operator.schema.json` is the one place where a default is written.
+"""
+
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from eldercart.settings.platform import BadSettings
+
+SCHEMA = Path(__file__).with_name("operator.schema.json")
+
+
+class Tuning:
+    """The settings as attributes; see the schema for unit and meaning of each."""
+
+    def __init__(self, values: dict[str, Any]) -> None:
+        self._values = values
+
+    def __getattr__(self, name: str) -> Any:
+        try:
+            return self._values[name]
+        except KeyError:
+            raise AttributeError(name) from None
+
+    def as_dict(self) -> dict[str, Any]:
+        return dict(self._values)
+
+
+def load_schema() -> dict[str, Any]:
+    schema: dict[str, Any] = orjson.loads(SCHEMA.read_bytes())
+    return schema
+
+
+def load_tuning(path: str | None = None, values: dict[str, Any] | None = None) -> Tuning:
+    """Defaults, overlaid with the operators' file if one is named."""
+    schema = load_schema()
+    merged = {name: entry["default"] for name, entry in schema["properties"].items()}
+    if path is not None:
+        try:
+            values = orjson.loads(Path(path).read_bytes())
+        except OSError as err:
+            raise BadSettings(f"operator settings: {path}: {err.strerror}") from None
+        except orjson.JSONDecodeError as err:
+            raise BadSettings(f"operator settings: {path}: not JSON: {err}") from None
+    if values is not None:
+        # Imported only when there is something to check: a fifth of a core starts faster without.
+        import fastjsonschema
+
+        try:
+            fastjsonschema.compile(schema)(values)
+        except fastjsonschema.JsonSchemaValueException as err:
+            raise BadSettings(f"operator settings: {err.message}") from None
+        merged.update(values)
+    return Tuning(merged)
--- /dev/null
+++ b/src/eldercart/settings/platform.py
@@ -0,0 +1,172 @@
+"""The settings file that the platform hands over. Unknown fields are ignored."""
+
+import math
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from eldercart.units import NodeId
+
+
+class BadSettings(Exception):
+    """One clear line naming the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    label: NodeId
+    zone: str
+    endpoint: Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    name: str
+    cpus: float
+    cpus_max: float
+    gpus: float
+    gpus_max: float
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    label: NodeId
+    zone: str
+    front: Endpoint
+    mesh: Endpoint
+    members: tuple[Member, ...]
+    cloud: Endpoint
+    state: Endpoint
+    nodes: int
+    teams: dict[str, Team]
+    waits: dict[str, float]  # class -> the shortest wait its users were promised, in seconds
+    report_s: float
+    lease_s: float
+    cancel_s: float
+    state_rps: float
+    state_write_rps: float
+    value_bytes: int
+    txn_ops: int
+    cloud_rps: float
+    list_lag_s: float
+    core_share: float
+    mem_mb: float
+    sockets: int
+    clock_off_s: float
+
+
+class _Reader:
+    """Fetches a field by its path, so that every complaint names it."""
+
+    def __init__(self, root: Any) -> None:
+        self._root = root
+
+    def get(self, path: str) -> Any:
+        value = self._root
+        for part in path.split("."):
+            if isinstance(value, list):
+                value = value[int(part)]
+            elif isinstance(value, dict) and part in value:
+                value = value[part]
+            else:
+                raise BadSettings(f"settings: {path}: missing")
+        return value
+
+    def text(self, path: str) -> str:
+        value = self.get(path)
+        if not isinstance(value, str) or not value:
+            raise BadSettings(f"settings: {path}: must be a text")
+        return value
+
+    def number(self, path: str, least: float = 0.0) -> float:
+        value = self.get(path)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise BadSettings(f"settings: {path}: must be a number")
+        if not math.isfinite(value) or value < least:
+            raise BadSettings(f"settings: {path}: must be at least {least:g}")
+        return float(value)
+
+    def items(self, path: str) -> range:
+        value = self.get(path)
+        if not isinstance(value, list) or not all(isinstance(v, dict) for v in value):
+            raise BadSettings(f"settings: {path}: must be a list of objects")
+        return range(len(value))
+
+    def endpoint(self, path: str) -> Endpoint:
+        host, _, port = self.text(path).rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+            raise BadSettings(f"settings: {path}: must be host:port")
+        return Endpoint(host, int(port))
+
+
+def parse_platform(root: Any) -> NodeSettings:
+    if not isinstance(root, dict):
+        raise BadSettings("settings: must be an object")
+    read = _Reader(root)
+    teams = {}
+    for i in read.items("settings.teams"):
+        at = f"settings.teams.{i}."
+        team = Team(
+            read.text(at + "name"),
+            read.number(at + "cpus"),
+            read.number(at + "cpus_max"),
+            read.number(at + "gpus"),
+            read.number(at + "gpus_max"),
+        )
+        teams[team.name] = team
+    waits: dict[str, float] = {}
+    for i in read.items("settings.objectives"):
+        at = f"settings.objectives.{i}."
+        if read.text(at + "kind") == "wait":
+            klass, within = read.text(at + "class"), read.number(at + "within_s")
+            waits[klass] = min(within, waits.get(klass, within))
+    return NodeSettings(
+        label=NodeId(read.text("label")),
+        zone=read.text("location"),
+        front=read.endpoint("front"),
+        mesh=read.endpoint("mesh_addr"),
+        members=tuple(
+            Member(
+                NodeId(read.text(f"members.{i}.label")),
+                read.text(f"members.{i}.location"),
+                read.endpoint(f"members.{i}.endpoint"),
+            )
+            for i in read.items("members")
+        ),
+        cloud=read.endpoint("endpoints.cloud"),
+        state=read.endpoint("endpoints.state"),
+        nodes=int(read.number("settings.count", 1)),
+        teams=teams,
+        waits=waits,
+        report_s=read.number("settings.workers.report_s", 0.001),
+        lease_s=read.number("settings.workers.lease_s", 0.001),
+        cancel_s=read.number("settings.workers.cancel_s", 0.001),
+        state_rps=read.number("settings.state.rps", 1),
+        state_write_rps=read.number("settings.state.write_rps", 1),
+        value_bytes=int(read.number("settings.state.value_kb", 1) * 1024),
+        txn_ops=int(read.number("settings.state.txn_ops", 4)),
+        cloud_rps=read.number("settings.cloud.rps", 0.01),
+        list_lag_s=read.number("settings.cloud.list_lag_s"),
+        core_share=read.number("settings.machine_limits.core_share"),
+        mem_mb=read.number("settings.machine_limits.mem_mb"),
+        sockets=int(read.number("settings.machine_limits.sockets", 32)),
+        clock_off_s=read.number("settings.clock_off_ms") / 1000.0,
+    )
+
+
+def load_platform(path: str) -> NodeSettings:
+    try:
+        root = orjson.loads(Path(path).read_bytes())
+    except OSError as err:
+        raise BadSettings(f"settings: {path}: {err.strerror}") from None
+    except orjson.JSONDecodeError as err:
+        raise BadSettings(f"settings: {path}: not JSON: {err}") from None
+    return parse_platform(root)
--- /dev/null
+++ b/src/eldercart/units.py
@@ -0,0 +1,42 @@
+"""The small types: ids, versions and times.
+
+They cost nothing at run time and keep a token from being passed as a revision.
+"""
+
+from typing import NamedTuple, NewType
+
+JobId = NewType("JobId", str)
+TaskKey = NewType("TaskKey", str)  # "<job id>/<index>"
+MachineId = NewType("MachineId", str)
+NodeId = NewType("NodeId", str)
+LeaseId = NewType("LeaseId", int)
+
+Epoch = NewType("Epoch", int)  # the fencing token that workers compare
+Revision = NewType("Revision", int)  # a key's version in the state service; 0: absent
+Attempt = NewType("Attempt", int)
+Session = NewType("Session", int)  # a worker's lease session
+
+Steady = NewType("Steady", float)  # seconds of this process's steady clock
+WallTime = NewType("WallTime", float)  # seconds of the time of day
+
+ABSENT = Revision(0)
+FOREVER = Steady(float("inf"))
+
+
+class ReportOrder(NamedTuple):
+    """Which of two messages of a worker is the newer one."""
+
+    session: Session
+    sequence: int
+
+
+NO_REPORT = ReportOrder(Session(0), -1)
+
+
+def task_key(job: JobId, index: int) -> TaskKey:
+    return TaskKey(f"{job}/{index}")
+
+
+def split_task_key(key: TaskKey) -> tuple[JobId, int]:
+    job, _, index = key.rpartition("/")
+    return JobId(job), int(index)
--- /dev/null
+++ b/src/eldercart/wire/__init__.py
@@ -0,0 +1,5 @@
+"""The wire formats: names and validation. Nothing here does I/O, so clients can use it too."""
+
+from eldercart.wire.checks import Malformed
+
+__all__ = ["Malformed"]
--- /dev/null
+++ b/src/eldercart/wire/checks.py
@@ -0,0 +1,79 @@
+"""Checks shared by the formats."""
+
+import math
+from typing import Any
+
+import orjson
+
+MAX_BODY = 64 * 1024
+MAX_COUNT = 2**64
+
+
+class Malformed(Exception):
+    """A message that is not what the protocol says; the text names the field."""
+
+
+def load_object(body: bytes) -> dict[str, Any]:
+    if len(body) > MAX_BODY:
+        raise Malformed("body over 64 KiB")
+    return load_answer(body)
+
+
+def load_answer(body: bytes) -> dict[str, Any]:
+    """A response may be longer than a request."""
+    try:
+        value = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        raise Malformed("not JSON") from None
+    if not isinstance(value, dict):
+        raise Malformed("not an object")
+    return value
+
+
+def text(obj: dict[str, Any], field: str, most: int = 200) -> str:
+    value = obj.get(field)
+    if not isinstance(value, str) or not 0 < len(value) <= most:
+        raise Malformed(field)
+    return value
+
+
+def amount(obj: dict[str, Any], field: str, least: float = 0.0) -> float:
+    value = obj.get(field)
+    # bool is an int in Python; JSON true is no number
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise Malformed(field)
+    if not math.isfinite(value) or value < least or value > 1e12:
+        raise Malformed(field)
+    return float(value)
+
+
+def optional(obj: dict[str, Any], field: str, default: float) -> float:
+    return default if obj.get(field) is None else amount(obj, field)
+
+
+def count(obj: dict[str, Any], field: str, least: int = 0, most: int = MAX_COUNT - 1) -> int:
+    value = obj.get(field)
+    if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
+        raise Malformed(field)
+    return value
+
+
+def flag(obj: dict[str, Any], field: str) -> bool:
+    value = obj.get(field)
+    if not isinstance(value, bool):
+        raise Malformed(field)
+    return value
+
+
+def texts(obj: dict[str, Any], field: str) -> tuple[str, ...]:
+    value = obj.get(field)
+    if not isinstance(value, list) or not all(isinstance(v, str) and v for v in value):
+        raise Malformed(field)
+    return tuple(value)
+
+
+def objects(obj: dict[str, Any], field: str) -> list[dict[str, Any]]:
+    value = obj.get(field)
+    if not isinstance(value, list) or not all(isinstance(v, dict) for v in value):
+        raise Malformed(field)
+    return value
--- /dev/null
+++ b/src/eldercart/wire/cloud.py
@@ -0,0 +1,119 @@
+"""The cloud's interface."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from eldercart.units import MachineId
+from eldercart.wire.checks import (
+    Malformed,
+    amount,
+    flag,
+    load_answer,
+    objects,
+    optional,
+    text,
+    texts,
+)
+
+MAX_RENT = 50
+MAX_DELETE = 100
+LIST_PAGE = 500
+STARTING, UP, FAILED = "starting", "running", "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class MachineType:
+    name: str
+    cpus: float
+    gpus: float
+    memory_gb: float
+    cache_gb: float
+    fetch_gb_per_s: float
+    price: float
+    spot_price: float
+    boot_s: float
+    zones: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ListedMachine:
+    id: MachineId
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    state: str
+    age_s: float
+
+
+def parse_catalog(obj: dict[str, Any]) -> dict[str, MachineType]:
+    types = {}
+    for item in objects(obj, "breeds"):
+        kind = MachineType(
+            name=text(item, "sku"),
+            cpus=amount(item, "cpus"),
+            gpus=optional(item, "accelerators", 0.0),
+            memory_gb=amount(item, "memGb"),
+            cache_gb=optional(item, "localGb", 0.0),
+            fetch_gb_per_s=amount(item, "pullGbPerS")
+            if item.get("pullGbPerS") is not None
+            else 1.0,
+            price=amount(item, "rate"),
+            spot_price=optional(item, "lowPrice", 0.0),
+            boot_s=optional(item, "readyS", 60.0),
+            zones=texts(item, "yards"),
+        )
+        types[kind.name] = kind
+    if not types:
+        raise Malformed("breeds")
+    return types
+
+
+def catalog_record(types: dict[str, MachineType]) -> dict[str, Any]:
+    return {
+        "breeds": [
+            {
+                "sku": t.name, "cpus": t.cpus, "accelerators": t.gpus, "memGb": t.memory_gb,
+                "localGb": t.cache_gb, "pullGbPerS": t.fetch_gb_per_s, "rate": t.price,
+                "lowPrice": t.spot_price, "readyS": t.boot_s, "yards": list(t.zones),
+            }
+            for t in types.values()
+        ]
+    }  # fmt: skip
+
+
+def rent_body(request: str, type_: str, zone: str, spot: bool, number: int) -> bytes:
+    body = {"hire": request, "breed": type_, "yard": zone, "loaners": spot, "number": number}
+    return orjson.dumps(body)
+
+
+def parse_rented(body: bytes) -> list[MachineId]:
+    return [MachineId(m) for m in texts(load_answer(body), "wagons")]
+
+
+def delete_body(machines: list[MachineId]) -> bytes:
+    return orjson.dumps({"wagons": machines})
+
+
+def list_path(after: str | None) -> str:
+    return f"/machines?most={LIST_PAGE}" + (f"&from={after}" if after else "")
+
+
+def parse_list(body: bytes) -> tuple[list[ListedMachine], bool]:
+    obj = load_answer(body)
+    machines = []
+    for item in objects(obj, "wagons"):
+        machines.append(
+            ListedMachine(
+                id=MachineId(text(item, "nameId")),
+                address=item["address"] if isinstance(item.get("address"), str) else "",
+                type=text(item, "breed"),
+                zone=text(item, "yard"),
+                spot=flag(item, "loaners"),
+                state=text(item, "standing"),
+                age_s=amount(item, "ageS"),
+            )
+        )
+    return machines, obj.get("more") is True
--- /dev/null
+++ b/src/eldercart/wire/workers.py
@@ -0,0 +1,110 @@
+"""What workers report and what they are told."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from eldercart.units import Attempt, Epoch, MachineId, NodeId, ReportOrder, Session, TaskKey
+from eldercart.wire.checks import amount, count, flag, objects, text
+
+FETCHING, TASK_RUNNING, SAVING, EXITED = "pulling", "running", "saving", "ended"
+WHY_DONE, WHY_STOPPED, WHY_ERROR = "done", "stopped", "error"
+WHY_NO_ROOM, WHY_BUSY, WHY_UNKNOWN = "full", "busy", "no_such"
+
+
+@dataclass(frozen=True, slots=True)
+class TaskReport:
+    key: TaskKey
+    attempt: Attempt
+    state: str
+    why: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    machine: MachineId
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    order: ReportOrder
+    epoch: Epoch  # the highest the worker has seen
+    notice_s: float | None
+    tasks: tuple[TaskReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Launch:
+    key: TaskKey
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class Kill:
+    key: TaskKey
+    attempt: Attempt
+    grace_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Clear:
+    key: TaskKey
+    attempt: Attempt
+
+
+Command = Launch | Kill | Clear
+
+
+def parse_report(obj: dict[str, Any]) -> Report:
+    tasks = []
+    for item in objects(obj, "parcels") if obj.get("parcels") is not None else ():
+        state = text(item, "standing")
+        why = item.get("cause") if state == EXITED else None
+        tasks.append(
+            TaskReport(
+                TaskKey(text(item, "parcel")),
+                Attempt(count(item, "try")),
+                state,
+                why if isinstance(why, str) else None,
+            )
+        )
+    return Report(
+        machine=MachineId(text(obj, "wagon")),
+        address=text(obj, "address"),
+        type=text(obj, "breed"),
+        zone=text(obj, "yard"),
+        spot=flag(obj, "loaners"),
+        order=ReportOrder(Session(count(obj, "stint")), count(obj, "tally")),
+        epoch=Epoch(count(obj, "whip")),
+        notice_s=None if obj.get("recallS") is None else amount(obj, "recallS"),
+        tasks=tuple(tasks),
+    )
+
+
+def command_object(command: Command) -> dict[str, Any]:
+    match command:
+        case Launch(key, attempt):
+            return {"call": "launch", "parcel": key, "try": attempt}
+        case Kill(key, attempt, grace):
+            return {"call": "kill", "parcel": key, "try": attempt, "slackS": grace}
+        case Clear(key, attempt):
+            return {"call": "clear", "parcel": key, "try": attempt}
+
+
+# A line of a response holds at most 64 KiB; a command takes under 100 bytes.
+MAX_COMMANDS = 500
+
+
+def commands_body(epoch: Epoch, commands: list[Command]) -> bytes:
+    calls = [command_object(c) for c in commands[:MAX_COMMANDS]]
+    return orjson.dumps({"whip": epoch, "calls": calls})
+
+
+def orders_body(epoch: Epoch, session: Session, commands: list[Command]) -> bytes:
+    calls = [command_object(c) for c in commands[:MAX_COMMANDS]]
+    return orjson.dumps({"whip": epoch, "stint": session, "calls": calls})
+
+
+def redirect_body(leader: NodeId | None) -> bytes:
+    return orjson.dumps({"droverBoss": leader} if leader else {})
