End a job once: a job taken over between its end and its clean-up was ended again

Cause: a new leader loaded a job whose end was durable but whose records were not yet deleted; a report of its last task put it back among the jobs to be ended. Ruled out: lost responses, starved tokens (a real defect too, closed here: an end now waits for its tokens first). Also: preemption near a promise, tasks written ahead, slow machines by several tasks.

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -140,6 +140,8 @@
         self._rental_due = now
         self._orphans: list[tuple[str, Revision]] = []
         self._list_seen = False
+        self._summary_due = now
+        self._waiting: list[JobSpec] = []  # of jobs that found no room in the last pass
 
     # ------------------------------------------------------------------ take-over
 
@@ -184,7 +186,7 @@
                 # Type and zone come with its report; until then it takes nothing new.
                 m = self.fleet.add(p.machine, _unknown_type("?"), "?", True, Life.UP, now, heard)
             self.fleet.occupy(m, p)
-            p.stopping = p.job.cancelled
+            p.stopping = p.job.ended is not None
             p.stop_since = now
         log.info(
             "took over epoch=%d jobs=%d placements=%d orphans=%d",
@@ -246,14 +248,8 @@
 
     def _stop_all(self, job: Job, now: Steady) -> None:
         for p in list(job.placements()):
-            if p.phase is Phase.ENDED:
-                continue
-            if not p.stopping:
-                p.stopping = True
-                p.stop_since = now
-            if not p.maybe_there:
-                # No launch was ever sent: it is nowhere.
-                self._void(p, now)
+            if p.phase is not Phase.ENDED:
+                self._stop(p, now)
 
     # ------------------------------------------------------------------ workers
 
@@ -346,7 +342,7 @@
         for p in list(m.placed.values()):
             if p in seen or p.phase is Phase.ENDED or p.phase is Phase.PLANNED:
                 continue
-            if p.stopping or p.job.cancelled:
+            if p.stopping or p.job.cancelled or p.job.ended is not None:
                 self._void(p, now)
             elif p.reported:
                 # It was there and a newer report lacks it: its session ended.
@@ -354,18 +350,52 @@
                 self._void(p, now)
             elif m.life is Life.UP and not m.draining:
                 # Again if need be: absence from a newer report shows that a launch was dropped.
+                if min(m.free_cpus, m.free_gpus, m.free_memory) < -rules.EPS:
+                    # Written ahead by an earlier leader for room that is not there: not launched.
+                    self._void(p, now)
+                    continue
                 p.maybe_there = True
                 calls.append(workers.Launch(p.key, p.attempt))
             else:
                 self._void(p, now)
+        if m.queue:
+            self._launch_queued(m, calls, now)
         return calls
 
+    def _launch_queued(self, m: Machine, calls: list[workers.Command], now: Steady) -> None:
+        """The report has shown what room there is; what was written ahead may start at once."""
+        teams = self.settings.teams
+        waiting = sorted(m.queue.values(), key=lambda p: (-p.job.spec.priority, p.queued_at))
+        for p in waiting:
+            if p.phase is not Phase.WANTED or p.key in m.placed or not m.usable:
+                continue
+            spec = p.job.spec
+            free = rules.Room(m.free_cpus, m.free_gpus, m.free_memory)
+            if free.fits(spec) < 1:
+                return
+            for above in self._waiting:
+                # Room for a waiting task of higher priority is not broken up; the rest is used.
+                if above.priority > spec.priority and rules.allowed(above, m):
+                    free.add(above, -free.fits(above))
+            if free.fits(spec) < 1 or rules.team_room(spec, self.fleet, teams) < 1:
+                continue
+            self.jobs.unmark_queued(p)
+            self.fleet.dequeue(m, p)
+            self.fleet.occupy(m, p)
+            p.maybe_there = True
+            calls.append(workers.Launch(p.key, p.attempt))
+
     def _grace(self, p: Placement) -> float:
         # A cancelled job's work is of no use; otherwise let the task save.
         return 0.0 if p.job.cancelled else p.job.spec.save_s
 
     def _exited(self, m: Machine, p: Placement, why: str | None, now: Steady) -> None:
         job = p.job
+        if job.cancelled or job.ended is not None:
+            # Its end is decided or even durable (a new leader may load such a job before its
+            # records are gone); to end it once more would be refused for ever.
+            self._void(p, now)
+            return
         ran = now - p.since if p.phase is Phase.RUNNING else 0.0
         if why == workers.WHY_DONE:
             self.jobs.finish(p, now)
@@ -374,10 +404,7 @@
             self._plan_wanted = True
             if self.health.task_done(m, job, ran):
                 self._quarantine(m, "slow", now)
-            if job.cancelled:
-                self.jobs.drop(p, now, again=False)
-                self.fleet.forget(m, p)
-            elif job.complete:
+            if job.complete:
                 self._ending[job.id] = job
             return
         if why == workers.WHY_ERROR and not p.stopping:
@@ -403,7 +430,10 @@
         """The task is proven not to be on its machine."""
         m = self.fleet.get(p.machine)
         if m is not None:
-            if p.phase is not Phase.ENDED:
+            if p.queued:
+                self.jobs.unmark_queued(p)
+                self.fleet.dequeue(m, p)
+            elif p.phase is not Phase.ENDED:
                 self.fleet.release(m, p, now)
             self.fleet.forget(m, p)
         if p.phase is Phase.ENDED:
@@ -425,10 +455,37 @@
         if now >= self._rental_due:
             self._rental_due = Steady(now + 1.0)
             self._rent(now)
+        if now >= self._summary_due:
+            self._summary_due = Steady(now + 10.0)
+            self._summary(now)
         since = now - self._planned
         if since >= 1.0 or (self._plan_wanted and since >= self.tuning.plan_interval_s):
             self._plan(now)
 
+    def _summary(self, now: Steady) -> None:
+        waiting: dict[str, float] = {}
+        for job in self.jobs.jobs.values():
+            if job.ended is None and not job.cancelled:
+                spec = job.spec
+                waiting[spec.klass] = waiting.get(spec.klass, 0.0) + job.pending * spec.cpus
+        log.debug(
+            "writer txn=%s reread=%s under_way=%s ending=%d dirty=%d cleaning=%d",
+            self._txn and [w.key for w in self._txn.txn.writes],
+            self.reread, self.reread_under_way, len(self._ending), len(self._dirty),
+            len(self._cleaning),
+        )  # fmt: skip
+        up = [m for m in self.fleet.machines.values() if m.life is Life.UP]
+        total = sum(m.type.cpus for m in up)
+        usable = sum(m.type.cpus for m in up if m.usable)
+        free = sum(m.free_cpus for m in up if m.usable)
+        booting = sum(1 for m in self.fleet.machines.values() if m.life is Life.BOOTING)
+        want_ordinary, want_any = self.rental.targets()
+        log.info(
+            "summary jobs=%d up=%d booting=%d cpus=%g usable=%g free=%g waiting=%s want=%.0f/%.0f",
+            len(self.jobs.jobs), len(up), booting, total, usable, free, waiting,
+            want_ordinary, want_any,
+        )  # fmt: skip
+
     @property
     def patience(self) -> float:
         reports: float = self.tuning.silence_reports * self.settings.report_s
@@ -452,7 +509,17 @@
             elif m.quarantined and not m.live:
                 self._doom(m, now)
             elif m.placed:
-                for p in m.placed.values():
+                for p in list(m.placed.values()):
+                    if (
+                        p.phase is Phase.RUNNING
+                        and self.health.straggles(p, now)
+                        and not p.stopping
+                    ):
+                        log.info("straggler task=%s machine=%s", p.key, m.id)
+                        p.job.bad_machines.add(m.id)
+                        self._stop(p, now)
+                        if self.health.straggled(m, p.job):
+                            self._quarantine(m, "slow", now)
                     if p.stopping and p.job.cancelled and now - p.stop_since > kill_patience:
                         log.info("kill overdue machine=%s task=%s", m.id, p.key)
                         self._doom(m, now)
@@ -485,37 +552,144 @@
         self._planned = now
         waiting = []
         for j in self.jobs.jobs.values():
-            if j.pending and not j.cancelled and j.ended is None:
+            if (j.pending or j.queued) and not j.cancelled and j.ended is None:
                 if j.hold_until > now:
                     self._plan_wanted = True
                     continue
                 waiting.append(j)
+        self._waiting = []
         if not waiting:
             return
-        machines = [m for m in self.fleet.machines.values() if m.usable and m.free_cpus > 0]
+        machines = [m for m in self.fleet.machines.values() if m.usable]
         if not machines:
             return
         teams = self.settings.teams
-        waiting.sort(key=lambda j: rules.order_key(j, self.fleet, teams, now))
+        waits = self.settings.waits
+        waiting.sort(key=lambda j: rules.order_key(j, self.fleet, teams, waits, now))
+        self.fleet.clear_holds()
+        self._revoke_queued(now)
+        soon: dict[str, rules.Room] | None = None
         full: set[tuple[Any, ...]] = set()
+        level = None
         for job in waiting:
             spec = job.spec
+            if spec.priority != level:
+                # What was written ahead keeps its room from jobs of the same or lower priority.
+                for m in machines:
+                    for p in m.queue.values():
+                        above = p.job.spec.priority
+                        if above >= spec.priority and (level is None or above < level):
+                            self.fleet.hold(m, p.job.spec, 1)
+                level = spec.priority
+                soon = None
             shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
-            if shape in full:
-                continue
-            choices = rules.choose(job, job.pending, machines, self.fleet, teams, now)
-            if not choices and not (spec.together or spec.spread or job.bad_machines):
-                if rules.team_room(spec, self.fleet, teams) > 0:
+            if shape not in full:
+                wanted = job.pending + job.queued
+                choices = rules.choose(job, wanted, machines, self.fleet, teams, now)
+                self._take_back(job, sum(c.number for c in choices) - job.pending, now)
+                plain = not (spec.together or spec.spread or job.bad_machines)
+                if not choices and plain and rules.team_room(spec, self.fleet, teams) > 0:
                     full.add(shape)
-                continue
-            for choice in choices:
-                for index in self.jobs.next_tasks(job, choice.number):
-                    p = self.jobs.place(job, index, choice.machine.id, now)
-                    self.fleet.occupy(choice.machine, p)
-                self._dirty[job.id] = job
-                log.debug(
-                    "placed job=%s machine=%s tasks=%d", job.id, choice.machine.id, choice.number
-                )
+                for choice in choices:
+                    for index in self.jobs.next_tasks(job, choice.number):
+                        p = self.jobs.place(job, index, choice.machine.id, now)
+                        self.fleet.occupy(choice.machine, p)
+                    self._dirty[job.id] = job
+                    log.debug(
+                        "placed job=%s on=%s tasks=%d", job.id, choice.machine.id, choice.number
+                    )
+            if job.pending or job.queued:
+                self._waiting.append(spec)
+            left = min(job.pending, rules.team_room(spec, self.fleet, teams))
+            if left > 0 and not (spec.together or spec.spread):
+                lead = 2 * self.settings.report_s + 1.0
+                patience = self.tuning.preempt_wait_s
+                if now >= rules.preempts_from(job, waits, lead, patience):
+                    if soon is None:
+                        soon = self._soon_free(machines)
+                    left -= self._claim(job, left, machines, soon, now)
+                if left > 0:
+                    self._ahead(job, left, machines, now)
+
+    def _take_back(self, job: Job, number: int, now: Steady) -> None:
+        """Room has come free elsewhere for tasks that were written ahead: nothing was sent for
+        them, so they may move."""
+        if number <= 0:
+            return
+        queued = [p for p in job.placements() if p.queued]
+        queued.sort(key=lambda p: (-p.queued_at, p.key))
+        for p in queued[:number]:
+            self._void(p, now)
+
+    def _revoke_queued(self, now: Steady) -> None:
+        """Takes back what was written ahead for a machine that no longer takes anything, or where
+        the room has not come: it was never sent, so it may go elsewhere at once."""
+        patience = self.tuning.ahead_patience_s
+        for m in self.fleet.machines.values():
+            for p in list(m.queue.values()):
+                if not m.usable or now - p.queued_at > patience:
+                    self._void(p, now)
+
+    def _ahead(self, job: Job, left: int, machines: list[Machine], now: Steady) -> None:
+        """Writes waiting tasks ahead, so that a report that shows room is answered with a launch
+        and no write stands between; in an outage of the state service work goes on so far."""
+        spec = job.spec
+        share = self.tuning.ahead_share
+        candidates = []
+        for m in machines:
+            if rules.allowed(spec, m) and m.id not in job.bad_machines:
+                room = m.type.cpus * share - sum(p.job.spec.cpus for p in m.queue.values())
+                if room + rules.EPS >= spec.cpus > 0:
+                    cached = spec.image in m.images
+                    candidates.append((not cached, len(m.queue), m.id, m, int(room / spec.cpus)))
+        candidates.sort(key=lambda c: c[:3])
+        for _, _, _, m, n in candidates:
+            take = min(left, n)
+            if take <= 0:
+                return
+            left -= take
+            self._enqueue(job, m, take, now)
+
+    def _enqueue(self, job: Job, m: Machine, number: int, now: Steady) -> None:
+        for index in self.jobs.next_tasks(job, number):
+            p = self.jobs.place(job, index, m.id, now)
+            self.jobs.mark_queued(p, now)
+            self.fleet.enqueue(m, p)
+            self.fleet.hold(m, job.spec, 1)
+        self._dirty[job.id] = job
+
+    def _soon_free(self, machines: list[Machine]) -> dict[str, rules.Room]:
+        soon: dict[str, rules.Room] = {}
+        for m in machines:
+            room = rules.free_room(m)
+            for p in m.placed.values():
+                if p.stopping and p.phase is not Phase.ENDED:
+                    room.add(p.job.spec)
+            soon[m.id] = room
+        return soon
+
+    def _claim(
+        self, job: Job, left: int, machines: list[Machine], soon: dict[str, rules.Room], now: Steady
+    ) -> int:
+        """Holds room for a job that found none, and stops tasks of lower priority for it. Without
+        the hold, small tasks would take each freed bit and a larger one would wait for ever.
+        Returns how many tasks now wait for such room, written ahead."""
+        claimed = 0
+        for claim in rules.claim_room(job, left, machines, soon, now):
+            self._enqueue(job, claim.machine, claim.number, now)
+            claimed += claim.number
+            for p in claim.victims:
+                log.info("preempted task=%s machine=%s for=%s", p.key, p.machine, job.id)
+                self._stop(p, now)
+        return claimed
+
+    def _stop(self, p: Placement, now: Steady) -> None:
+        if not p.stopping:
+            p.stopping = True
+            p.stop_since = now
+        if not p.maybe_there:
+            # No launch was ever sent: it is nowhere.
+            self._void(p, now)
 
     # ------------------------------------------------------------------ state service
 
@@ -526,9 +700,9 @@
             return None
         ops = min(ops, self.settings.txn_ops)
         pending = PendingTxn(Txn({LEAD_KEY: Revision(self.epoch)}))
-        self._add_ends(pending, ops)
-        self._add_chunks(pending, ops, now)
-        self._add_cleanups(pending, ops)
+        if self._add_ends(pending, ops):
+            self._add_chunks(pending, ops, now)
+            self._add_cleanups(pending, ops)
         if not pending.txn.writes:
             return None
         self._txn = pending
@@ -538,7 +712,9 @@
     def ends_waiting(self) -> bool:
         return bool(self._ending)
 
-    def _add_ends(self, pending: PendingTxn, ops: int) -> None:
+    def _add_ends(self, pending: PendingTxn, ops: int) -> bool:
+        """Returns whether anything of less urgency may follow: not while an end waits for more
+        tokens, or each token would go to a placement as it came."""
         txn = pending.txn
         for job in self._ending.values():
             how = users.CANCELLED if job.cancelled else users.DONE
@@ -549,7 +725,7 @@
                 if whole and need > ops:
                     whole, need = False, 2
                 if len(txn.writes) + need > ops:
-                    break
+                    return False
             txn.guards[END + job.id] = ABSENT
             txn.writes.append(Put(END + job.id, {"e": how, "n": job.spec.tasks}))
             pending.ends.append((job, how))
@@ -561,6 +737,7 @@
             else:
                 # The marker tells a later leader that this job only waits to be cleaned up.
                 txn.writes.append(Put(GONE + job.id, {"e": how}))
+        return True
 
     def _add_chunks(self, pending: PendingTxn, ops: int, now: Steady) -> None:
         txn = pending.txn
@@ -631,6 +808,10 @@
         if outcome is Outcome.OK:
             self._committed(pending, revision, now)
             return False
+        log.info(
+            "write not done outcome=%s failed=%s keys=%s",
+            outcome.value, failed, [w.key for w in pending.txn.writes],
+        )  # fmt: skip
         for job, c, _, _ in pending.chunks:
             self.jobs.touch(job, c, now, urgent=True)
             self._dirty[job.id] = job
@@ -697,6 +878,12 @@
         self.finished.append((job.id, how))
         self._plan_wanted = True
         log.info("job ended job=%s how=%s seconds=%.1f", job.id, how, now - job.arrived)
+        if job.ran:
+            log.info(
+                "run times job=%s class=%s estimate=%.1f n=%d %s",
+                job.id, job.spec.klass, job.spec.estimate_s, len(job.ran),
+                " ".join(f"{r:.1f}" for r in sorted(job.ran)[:: max(1, len(job.ran) // 8)]),
+            )  # fmt: skip
 
     def take_finished(self) -> list[tuple[JobId, str]]:
         out, self.finished = self.finished, []
@@ -784,7 +971,7 @@
         m = self.fleet.get(machine)
         if m is None:
             return
-        placed = list(m.placed.values())
+        placed = [*m.placed.values(), *m.queue.values()]
         log.info("machine gone machine=%s tasks=%d", machine, len(placed))
         for p in placed:
             self._void(p, now)
--- a/src/eldercart/core/fleet.py
+++ b/src/eldercart/core/fleet.py
@@ -6,6 +6,7 @@
 from eldercart.core.jobs import Phase, Placement
 from eldercart.units import NO_REPORT, MachineId, ReportOrder, Steady, TaskKey
 from eldercart.wire.cloud import MachineType
+from eldercart.wire.users import JobSpec
 
 
 class Life(IntEnum):
@@ -28,17 +29,21 @@
     order: ReportOrder = NO_REPORT
     confirmed: bool = False  # has reported under this leader's epoch
     placed: dict[TaskKey, Placement] = field(default_factory=dict)
+    queue: dict[TaskKey, Placement] = field(default_factory=dict)  # written ahead, never sent
     foreign: bool = False  # reports live tasks that no record knows
     free_cpus: float = 0.0
     free_gpus: float = 0.0
     free_memory: float = 0.0
+    held_cpus: float = 0.0  # of the free room, what this pass keeps for jobs placed before
+    held_gpus: float = 0.0
+    held_memory: float = 0.0
     idle_since: Steady = Steady(0)
     draining: bool = False  # notice or quarantine: nothing new starts here
     quarantined: bool = False
     notice_at: Steady | None = None
     images: dict[str, float] = field(default_factory=dict)  # name -> GB, least recent first
     failed_jobs: set[str] = field(default_factory=set)
-    slow_jobs: set[str] = field(default_factory=set)
+    paces: list[tuple[str, float]] = field(default_factory=list)  # run time / the job's median
     good_since_fault: int = 0
     refuse_until: Steady = Steady(-1e9)
     booked: float = 0.0  # CPUs softly held; any waiting task may use them
@@ -95,6 +100,22 @@
         self.team_gpus[spec.team] -= spec.gpus
         m.idle_since = now
 
+    def enqueue(self, m: Machine, p: Placement) -> None:
+        """Written ahead for room to come: launched by the report that shows the room."""
+        m.queue[p.key] = p
+
+    def dequeue(self, m: Machine, p: Placement) -> None:
+        m.queue.pop(p.key, None)
+
+    def clear_holds(self) -> None:
+        for m in self.machines.values():
+            m.held_cpus = m.held_gpus = m.held_memory = 0.0
+
+    def hold(self, m: Machine, spec: JobSpec, number: int) -> None:
+        m.held_cpus += spec.cpus * number
+        m.held_gpus += spec.gpus * number
+        m.held_memory += spec.memory_gb * number
+
     def forget(self, m: Machine, p: Placement) -> None:
         if m.placed.get(p.key) is p:
             del m.placed[p.key]
@@ -106,7 +127,7 @@
         self._gone[m.id] = None
         while len(self._gone) > 5000:
             del self._gone[next(iter(self._gone))]
-        return list(m.placed.values())
+        return [*m.placed.values(), *m.queue.values()]
 
     def note_image(self, m: Machine, image: str, size_gb: float) -> None:
         m.images.pop(image, None)
--- a/src/eldercart/core/health.py
+++ b/src/eldercart/core/health.py
@@ -8,10 +8,12 @@
 from statistics import median
 
 from eldercart.core.fleet import Machine
-from eldercart.core.jobs import Job
+from eldercart.core.jobs import Job, Placement
 from eldercart.units import Steady
 
-SLOW_FACTOR = 1.9
+SLOW_FACTOR = 1.8  # mean run time against the jobs' own medians
+SLOW_TASKS, SLOW_JOBS = 5, 2  # tasks of one job differ by a factor of three: one proves nothing
+STRAGGLER_FACTOR = 3.0
 MAX_BACKOFF_S = 30.0
 
 
@@ -41,15 +43,25 @@
             m.failed_jobs.clear()
         if ran_s <= 0:
             return False
-        others = job.ran
-        slow = len(others) >= 3 and ran_s > SLOW_FACTOR * median(others)
-        if slow:
-            m.slow_jobs.add(job.id)
-        elif len(others) >= 3:
-            m.slow_jobs.discard(job.id)
-            job.ran.append(ran_s)
-        else:
-            job.ran.append(ran_s)
-        if len(job.ran) > 50:
-            del job.ran[:25]
-        return len(m.slow_jobs) >= self._jobs
+        slow = len(job.ran) >= 3 and self._paced(m, job, ran_s / max(0.1, median(job.ran)))
+        job.ran.append(ran_s)
+        if len(job.ran) > 60:
+            del job.ran[:30]
+        return slow
+
+    def straggles(self, p: Placement, now: Steady) -> bool:
+        """Whether a running task has taken far longer than any other of its job did."""
+        ran = p.job.ran
+        return len(ran) >= 3 and now - p.since > STRAGGLER_FACTOR * max(ran) + 5.0
+
+    def straggled(self, m: Machine, job: Job) -> bool:
+        """A task was stopped as a straggler; returns whether the machine is to be taken out."""
+        return self._paced(m, job, STRAGGLER_FACTOR)
+
+    def _paced(self, m: Machine, job: Job, pace: float) -> bool:
+        m.paces.append((job.id, pace))
+        if len(m.paces) > 12:
+            del m.paces[0]
+        jobs = {j for j, _ in m.paces}
+        mean = sum(pace for _, pace in m.paces) / len(m.paces)
+        return len(m.paces) >= SLOW_TASKS and len(jobs) >= SLOW_JOBS and mean > SLOW_FACTOR
--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -52,6 +52,8 @@
     machine: MachineId
     phase: Phase = Phase.PLANNED
     maybe_there: bool = False  # a launch was sent, or may have been by an earlier leader
+    queued: bool = False  # waits on its machine for room; nothing was sent
+    queued_at: Steady = Steady(0)
     stopping: bool = False
     stop_since: Steady = Steady(0)
     since: Steady = Steady(0)  # start of running, as seen here
@@ -83,6 +85,7 @@
         self.chunks: dict[int, Chunk] = {}
         self.fresh = 0  # the first task never placed
         self.again: list[int] = []  # tasks to place once more
+        self.queued = 0  # tasks written ahead of free room
         self.cancelled = False  # asked for; durable once `ended` is set
         self.cancelled_at = Steady(0)
         self.ended: str | None = None
@@ -90,7 +93,6 @@
         self.errors = 0
         self.hold_until = Steady(-1e9)
         self.bad_machines: set[MachineId] = set()
-        self.bad_durations: float = 0.0
         self.ran: list[float] = []  # run times seen, for comparison
 
     @property
@@ -213,6 +215,15 @@
         self.touch(job, chunk, now, urgent=True)
         return p
 
+    def mark_queued(self, p: Placement, now: Steady) -> None:
+        p.queued = True
+        p.queued_at = now
+        p.job.queued += 1
+
+    def unmark_queued(self, p: Placement) -> None:
+        p.queued = False
+        p.job.queued -= 1
+
     def touch(self, job: Job, chunk: Chunk, now: Steady, urgent: bool = False) -> None:
         if not chunk.dirty:
             chunk.dirty = True
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -1,16 +1,18 @@
 """Which task goes where: order of jobs, choice of machines, and the limits that never give way."""
 
+import heapq
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from eldercart.core.fleet import Fleet, Machine
-from eldercart.core.jobs import Job, Phase
+from eldercart.core.jobs import Job, Phase, Placement
 from eldercart.settings.platform import Team
 from eldercart.units import Steady
 from eldercart.wire.cloud import MachineType
 from eldercart.wire.users import JobSpec
 
 EPS = 1e-6
+FAR = 1e9
 
 
 def fits_type(spec: JobSpec, kind: MachineType) -> bool:
@@ -46,16 +48,38 @@
     )
 
 
+@dataclass(slots=True)
+class Room:
+    """What is free on a machine, or will be."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+
+    def fits(self, spec: JobSpec) -> int:
+        n = 100_000
+        if spec.cpus > 0:
+            n = min(n, int((self.cpus + EPS) / spec.cpus))
+        if spec.gpus > 0:
+            n = min(n, int((self.gpus + EPS) / spec.gpus))
+        if spec.memory_gb > 0:
+            n = min(n, int((self.memory_gb + EPS) / spec.memory_gb))
+        return max(0, n)
+
+    def add(self, spec: JobSpec, number: int = 1) -> None:
+        self.cpus += spec.cpus * number
+        self.gpus += spec.gpus * number
+        self.memory_gb += spec.memory_gb * number
+
+
+def free_room(m: Machine) -> Room:
+    """Beside everything that may run there and what is held for jobs placed before."""
+    return Room(m.free_cpus - m.held_cpus, m.free_gpus - m.held_gpus, m.free_memory - m.held_memory)
+
+
 def room(spec: JobSpec, m: Machine) -> int:
-    """How many tasks of this size fit beside everything that may run there."""
-    n = 100_000
-    if spec.cpus > 0:
-        n = min(n, int((m.free_cpus + EPS) / spec.cpus))
-    if spec.gpus > 0:
-        n = min(n, int((m.free_gpus + EPS) / spec.gpus))
-    if spec.memory_gb > 0:
-        n = min(n, int((m.free_memory + EPS) / spec.memory_gb))
-    return max(0, n)
+    """How many tasks of this size fit."""
+    return free_room(m).fits(spec)
 
 
 def team_room(spec: JobSpec, fleet: Fleet, teams: dict[str, Team]) -> int:
@@ -151,15 +175,128 @@
     return chosen
 
 
-def order_key(job: Job, fleet: Fleet, teams: dict[str, Team], now: Steady) -> tuple[float, ...]:
-    """Priority, then the team's guarantee, then slack to the deadline, then age."""
+def next_due(job: Job, waits: dict[str, tuple[float, ...]], now: Steady) -> float:
+    """When the job should be started, by the next promise that can still be kept: its deadline
+    less its run time, or the waits promised to its class. Past all of them haste gains nothing."""
+    spec = job.spec
+    if spec.deadline_s is not None:
+        for times in (1.0, 1.5):
+            due = job.arrived + spec.deadline_s * times - spec.estimate_s
+            if due > now:
+                return due
+        return FAR + job.arrived
+    for wait in waits.get(spec.klass, ()):
+        if job.arrived + wait > now:
+            return job.arrived + wait
+    return FAR + job.arrived
+
+
+def preempts_from(
+    job: Job, waits: dict[str, tuple[float, ...]], lead_s: float, patience_s: float
+) -> float:
+    """From when on a waiting job may have others stopped. Until its promise comes near it takes
+    what ends by itself: stopped work is lost, and most of it would have ended soon."""
+    promised = waits.get(job.spec.klass)
+    due = job.arrived + (promised[0] if promised else patience_s + lead_s)
+    return min(due - lead_s, job.arrived + patience_s)
+
+
+def order_key(
+    job: Job,
+    fleet: Fleet,
+    teams: dict[str, Team],
+    waits: dict[str, tuple[float, ...]],
+    now: Steady,
+) -> tuple[float, ...]:
+    """Priority, then the team's guarantee, then the next promise, then age."""
     spec = job.spec
     team = teams.get(spec.team)
     guaranteed = team is not None and (
         fleet.team_cpus.get(spec.team, 0.0) + spec.cpus <= team.cpus + EPS
     )
-    due = job.deadline()
-    # Past one and a half times its deadline a job gains nothing from haste.
-    late = spec.deadline_s is not None and now > job.arrived + 1.5 * spec.deadline_s
-    slack = due - spec.estimate_s
-    return (-spec.priority, late, not guaranteed, slack, job.arrived)
+    return (-spec.priority, not guaranteed, next_due(job, waits, now), job.arrived)
+
+
+@dataclass(slots=True)
+class Claim:
+    """Room that a waiting job will get on a machine once the victims there have gone."""
+
+    machine: Machine
+    number: int
+    victims: list[Placement]
+
+
+def claim_room(
+    job: Job, wanted: int, machines: Iterable[Machine], soon: dict[str, Room], now: Steady
+) -> list[Claim]:
+    """Where a job that found no room gets some: first where tasks are being stopped anyway, then
+    by stopping tasks of lower priority, those that lose the least work first. `soon` is the room
+    once everything being stopped has gone; it is reduced by what is claimed."""
+    spec = job.spec
+    claims: list[Claim] = []
+    rest: list[Machine] = []
+    for m in machines:
+        if wanted <= 0:
+            return claims
+        if not allowed(spec, m) or m.id in job.bad_machines:
+            continue
+        left = soon[m.id]
+        n = min(left.fits(spec), wanted)
+        if n > 0:
+            left.add(spec, -n)
+            claims.append(Claim(m, n, []))
+            wanted -= n
+        rest.append(m)
+    offers: list[tuple[float, str, Machine, list[Placement]]] = []
+    for m in rest:
+        offer = _cheapest(job, m, soon[m.id], now, set())
+        if offer is not None:
+            heapq.heappush(offers, (offer[0], m.id, m, offer[1]))
+    taken: dict[str, set[Placement]] = {}
+    while wanted > 0 and offers:
+        _, _, m, victims = heapq.heappop(offers)
+        left = soon[m.id]
+        for p in victims:
+            left.add(p.job.spec)
+        left.add(spec, -1)
+        gone = taken.setdefault(m.id, set())
+        gone.update(victims)
+        claims.append(Claim(m, 1, victims))
+        wanted -= 1
+        offer = _cheapest(job, m, left, now, gone)
+        if offer is not None:
+            heapq.heappush(offers, (offer[0], m.id, m, offer[1]))
+    return claims
+
+
+def _cheapest(
+    job: Job, m: Machine, left: Room, now: Steady, gone: set[Placement]
+) -> tuple[float, list[Placement]] | None:
+    """The work lost by making room for one task, and the tasks to stop for it."""
+    spec = job.spec
+    candidates = [
+        p
+        for p in m.placed.values()
+        if p.job.spec.priority < spec.priority
+        and not p.stopping
+        and p.phase is not Phase.ENDED
+        and p not in gone
+    ]
+    candidates.sort(key=lambda p: (lost_work(p, now), p.key))
+    room_ = Room(left.cpus, left.gpus, left.memory_gb)
+    victims: list[Placement] = []
+    lost = 0.0
+    for p in candidates:
+        if room_.fits(spec):
+            break
+        room_.add(p.job.spec)
+        victims.append(p)
+        lost += lost_work(p, now)
+    return (lost, victims) if room_.fits(spec) else None
+
+
+def lost_work(p: Placement, now: Steady) -> float:
+    ran = now - p.since if p.phase is Phase.RUNNING else 0.0
+    if p.job.spec.checkpoint_s > 0:
+        ran = min(ran, p.job.spec.checkpoint_s)
+    return (ran + 1.0) * p.job.spec.cpus
--- a/src/eldercart/settings/platform.py
+++ b/src/eldercart/settings/platform.py
@@ -47,7 +47,7 @@
     state: Endpoint
     nodes: int
     teams: dict[str, Team]
-    waits: dict[str, float]  # class -> the shortest wait its users were promised, in seconds
+    waits: dict[str, tuple[float, ...]]  # class -> the waits its users were promised, in seconds
     report_s: float
     lease_s: float
     cancel_s: float
@@ -122,12 +122,12 @@
             read.number(at + "gpus_max"),
         )
         teams[team.name] = team
-    waits: dict[str, float] = {}
+    waits: dict[str, tuple[float, ...]] = {}
     for i in read.items("settings.objectives"):
         at = f"settings.objectives.{i}."
         if read.text(at + "kind") == "wait":
             klass, within = read.text(at + "class"), read.number(at + "within_s")
-            waits[klass] = min(within, waits.get(klass, within))
+            waits[klass] = tuple(sorted({*waits.get(klass, ()), within}))
     return NodeSettings(
         label=NodeId(read.text("label")),
         zone=read.text("location"),
