--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -33,6 +33,7 @@
     parse_job_record,
     place_key,
 )
+from eldercart.core.prediction import Predictor
 from eldercart.core.rental import Hire, Offer, Rental
 from eldercart.election import LEAD_KEY
 from eldercart.settings import NodeSettings, Tuning
@@ -117,9 +118,11 @@
         self.jobs = JobBook(0)
         self.fleet = Fleet()
         self.rental = Rental(tuning, settings.teams)
+        self.predictor = Predictor(tuning)
         self.health = Health(tuning.quarantine_jobs, tuning.error_backoff_s)
         self.reread: set[str] = set()
         self.reread_under_way: set[str] = set()
+        self.work_done = self.work_lost = 0.0  # CPU seconds, as seen here
         self.finished: list[tuple[JobId, str]] = []  # newly durable ends, for waiting answers
         self.catalog_changed = False
         self._txn: PendingTxn | None = None
@@ -187,6 +190,9 @@
                 m = self.fleet.add(p.machine, _unknown_type("?"), "?", True, Life.UP, now, heard)
             self.fleet.occupy(m, p)
             p.stopping = p.job.ended is not None
+            # Its run time will be seen only in part. Taken for a whole one it would make all
+            # later tasks of its job look slow, and healthy machines with them.
+            p.since_known = False
             p.stop_since = now
         log.info(
             "took over epoch=%d jobs=%d placements=%d orphans=%d",
@@ -209,7 +215,7 @@
         if spec.id in self.jobs:
             return
         arrived = Steady(min(now, at - self._zero_wall))
-        self.jobs.add(spec, size, arrived)
+        self.predictor.arrived(self.jobs.add(spec, size, arrived), now)
         self._plan_wanted = True
         self._rental_due = now
         log.info(
@@ -349,6 +355,7 @@
                 log.info("task lost machine=%s task=%s attempt=%d", m.id, p.key, p.attempt)
                 self._void(p, now)
             elif m.life is Life.UP and not m.draining:
+                p.since_known = True
                 # Again if need be: absence from a newer report shows that a launch was dropped.
                 if min(m.free_cpus, m.free_gpus, m.free_memory) < -rules.EPS:
                     # Written ahead by an earlier leader for room that is not there: not launched.
@@ -396,12 +403,14 @@
             # records are gone); to end it once more would be refused for ever.
             self._void(p, now)
             return
-        ran = now - p.since if p.phase is Phase.RUNNING else 0.0
+        ran = now - p.since if p.phase is Phase.RUNNING and p.since_known else 0.0
         if why == workers.WHY_DONE:
             self.jobs.finish(p, now)
             self.fleet.release(m, p, now)
             self._dirty[job.id] = job
             self._plan_wanted = True
+            self.work_done += ran * job.spec.cpus
+            self.predictor.ran(job, ran)
             if self.health.task_done(m, job, ran):
                 self._quarantine(m, "slow", now)
             if job.complete:
@@ -421,6 +430,10 @@
     def _quarantine(self, m: Machine, why: str, now: Steady) -> None:
         if m.quarantined:
             return
+        out = sum(1 for other in self.fleet.machines.values() if other.quarantined)
+        if out >= max(1, self.tuning.quarantine_share * len(self.fleet.machines)):
+            # When many machines look bad at once, the evidence is more likely at fault.
+            return
         m.quarantined = True
         m.draining = True
         self._rental_due = now
@@ -438,6 +451,8 @@
             self.fleet.forget(m, p)
         if p.phase is Phase.ENDED:
             return  # done; only the record is outstanding
+        if p.phase is Phase.RUNNING:
+            self.work_lost += (now - p.since) * p.job.spec.cpus
         self.jobs.drop(p, now, again=True)
         self._dirty[p.job.id] = p.job
         self._plan_wanted = True
@@ -468,6 +483,11 @@
             if job.ended is None and not job.cancelled:
                 spec = job.spec
                 waiting[spec.klass] = waiting.get(spec.klass, 0.0) + job.pending * spec.cpus
+        log.info(
+            "prediction hits=%d misses=%d unused=%d booked=%d",
+            self.predictor.hits, self.predictor.misses, self.predictor.unused,
+            len(self.predictor.bookings),
+        )  # fmt: skip
         log.debug(
             "writer txn=%s reread=%s under_way=%s ending=%d dirty=%d cleaning=%d",
             self._txn and [w.key for w in self._txn.txn.writes],
@@ -478,12 +498,16 @@
         total = sum(m.type.cpus for m in up)
         usable = sum(m.type.cpus for m in up if m.usable)
         free = sum(m.free_cpus for m in up if m.usable)
+        running = sum(
+            p.job.spec.cpus for m in up for p in m.placed.values() if p.phase is Phase.RUNNING
+        )
         booting = sum(1 for m in self.fleet.machines.values() if m.life is Life.BOOTING)
         want_ordinary, want_any = self.rental.targets()
         log.info(
-            "summary jobs=%d up=%d booting=%d cpus=%g usable=%g free=%g waiting=%s want=%.0f/%.0f",
-            len(self.jobs.jobs), len(up), booting, total, usable, free, waiting,
-            want_ordinary, want_any,
+            "summary jobs=%d up=%d booting=%d cpus=%g usable=%g running=%g free=%g waiting=%s "
+            "want=%.0f/%.0f work=%.0f lost=%.0f",
+            len(self.jobs.jobs), len(up), booting, total, usable, running, free, waiting,
+            want_ordinary, want_any, self.work_done, self.work_lost,
         )  # fmt: skip
 
     @property
@@ -534,7 +558,8 @@
     def _rent(self, now: Steady) -> None:
         if not self.types:
             return
-        self.rental.measure(self.jobs.jobs.values(), 0.0, now)
+        self._prepare(now)
+        self.rental.measure(self.jobs.jobs.values(), self.predictor.booked(), now)
         machines = self.fleet.machines.values()
         # After a take-over the fleet is not known yet: renting now would double it.
         settled = now - self._began > 2 * self.settings.list_lag_s or self._list_seen
@@ -545,6 +570,24 @@
             log.info("machine returned machine=%s idle=%.0f", m.id, now - m.idle_since)
             self._doom(m, now)
 
+    def _prepare(self, now: Steady) -> None:
+        """Soft bookings for the successors of jobs that end within about one boot."""
+        self.predictor.expire(now)
+        boot = min(kind.boot_s for kind in self.types.values())
+        fleet = sum(m.type.cpus for m in self.fleet.machines.values() if m.life is Life.UP)
+        used = sum(self.fleet.team_cpus.values()) + self.predictor.booked()[1]
+        load = used / fleet if fleet else 0.0
+        for job in self.jobs.jobs.values():
+            if job.ended is not None or job.cancelled or job.pending or job.queued:
+                continue
+            run = self.predictor.run_s(job)
+            left = 0.0
+            for p in job.placements():
+                if p.phase is not Phase.ENDED:
+                    ran = now - p.since if p.phase is Phase.RUNNING else 0.0
+                    left = max(left, run - ran)
+            self.predictor.prepare(job, left, boot, load, now)
+
     # ------------------------------------------------------------------ placing
 
     def _plan(self, now: Steady) -> None:
@@ -565,12 +608,21 @@
             return
         teams = self.settings.teams
         waits = self.settings.waits
-        waiting.sort(key=lambda j: rules.order_key(j, self.fleet, teams, waits, now))
+        usable = sum(m.type.cpus for m in machines)
+        used = self._used_by_priority()
+
+        def capacity(priority: int) -> float:
+            return usable - sum(cpus for above, cpus in used.items() if above > priority)
+
+        waiting = rules.order_jobs(
+            waiting, self.fleet, teams, waits, capacity, self.predictor.run_s, now
+        )
         self.fleet.clear_holds()
         self._revoke_queued(now)
         soon: dict[str, rules.Room] | None = None
         full: set[tuple[Any, ...]] = set()
         level = None
+        keeps = self._ordinary_kept(machines)
         for job in waiting:
             spec = job.spec
             if spec.priority != level:
@@ -585,7 +637,10 @@
             shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
             if shape not in full:
                 wanted = job.pending + job.queued
-                choices = rules.choose(job, wanted, machines, self.fleet, teams, now)
+                open_ = machines
+                if spec.spot and keeps is not None and spec.priority <= keeps:
+                    open_ = [m for m in machines if m.spot]
+                choices = rules.choose(job, wanted, open_, self.fleet, teams, now)
                 self._take_back(job, sum(c.number for c in choices) - job.pending, now)
                 plain = not (spec.together or spec.spread or job.bad_machines)
                 if not choices and plain and rules.team_room(spec, self.fleet, teams) > 0:
@@ -611,6 +666,34 @@
                 if left > 0:
                     self._ahead(job, left, machines, now)
 
+    def _ordinary_kept(self, machines: list[Machine]) -> int | None:
+        """Whether ordinary machines are kept for jobs that may use nothing else, and up to which
+        priority: when those jobs are expected to need all that is left of them, a job that may
+        use spot machines waits for one rather than be stopped or stand in the way."""
+        free = used = 0.0
+        top = -1
+        for m in machines:
+            if m.spot:
+                continue
+            free += m.free_cpus
+            for p in m.placed.values():
+                if not p.job.spec.spot and p.phase is not Phase.ENDED:
+                    used += p.job.spec.cpus
+        for job in self.jobs.jobs.values():
+            if not job.spec.spot and job.ended is None:
+                top = max(top, job.spec.priority)
+        wanted = self.rental.targets()[0] - used
+        return top if top >= 0 and wanted >= free else None
+
+    def _used_by_priority(self) -> dict[int, float]:
+        used: dict[int, float] = {}
+        for m in self.fleet.machines.values():
+            for p in m.placed.values():
+                if p.phase is not Phase.ENDED:
+                    spec = p.job.spec
+                    used[spec.priority] = used.get(spec.priority, 0.0) + spec.cpus
+        return used
+
     def _take_back(self, job: Job, number: int, now: Steady) -> None:
         """Room has come free elsewhere for tasks that were written ahead: nothing was sent for
         them, so they may move."""
@@ -870,6 +953,7 @@
 
     def _ended(self, job: Job, how: str, now: Steady) -> None:
         job.ended = how
+        self.predictor.ended(job, how)
         self._ending.pop(job.id, None)
         if how == users.CANCELLED and not job.cancelled:
             job.cancelled = True
--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -57,6 +57,7 @@
     stopping: bool = False
     stop_since: Steady = Steady(0)
     since: Steady = Steady(0)  # start of running, as seen here
+    since_known: bool = True  # False: it ran already when this leader first heard of it
     reported: bool = False
 
 
@@ -85,6 +86,7 @@
         self.chunks: dict[int, Chunk] = {}
         self.fresh = 0  # the first task never placed
         self.again: list[int] = []  # tasks to place once more
+        self.late = False  # set aside: its promises can't be kept any more
         self.queued = 0  # tasks written ahead of free room
         self.cancelled = False  # asked for; durable once `ended` is set
         self.cancelled_at = Steady(0)
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -1,7 +1,7 @@
 """Which task goes where: order of jobs, choice of machines, and the limits that never give way."""
 
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from eldercart.core.fleet import Fleet, Machine
@@ -12,7 +12,6 @@
 from eldercart.wire.users import JobSpec
 
 EPS = 1e-6
-FAR = 1e9
 
 
 def fits_type(spec: JobSpec, kind: MachineType) -> bool:
@@ -127,7 +126,6 @@
     fleet: Fleet,
     teams: dict[str, Team],
     now: Steady,
-    usable: Callable[[Machine], bool] | None = None,
 ) -> list[Choice]:
     spec = job.spec
     wanted = min(wanted, team_room(spec, fleet, teams))
@@ -140,7 +138,6 @@
         and allowed(spec, m)
         and m.id not in job.bad_machines
         and (n := room(spec, m)) > 0
-        and (usable is None or usable(m))
     ]
     if not candidates:
         return []
@@ -175,46 +172,87 @@
     return chosen
 
 
-def next_due(job: Job, waits: dict[str, tuple[float, ...]], now: Steady) -> float:
-    """When the job should be started, by the next promise that can still be kept: its deadline
-    less its run time, or the waits promised to its class. Past all of them haste gains nothing."""
-    spec = job.spec
-    if spec.deadline_s is not None:
-        for times in (1.0, 1.5):
-            due = job.arrived + spec.deadline_s * times - spec.estimate_s
-            if due > now:
-                return due
-        return FAR + job.arrived
-    for wait in waits.get(spec.klass, ()):
-        if job.arrived + wait > now:
-            return job.arrived + wait
-    return FAR + job.arrived
-
-
 def preempts_from(
     job: Job, waits: dict[str, tuple[float, ...]], lead_s: float, patience_s: float
 ) -> float:
     """From when on a waiting job may have others stopped. Until its promise comes near it takes
     what ends by itself: stopped work is lost, and most of it would have ended soon."""
     promised = waits.get(job.spec.klass)
-    due = job.arrived + (promised[0] if promised else patience_s + lead_s)
-    return min(due - lead_s, job.arrived + patience_s)
+    if not promised:
+        return job.arrived + patience_s
+    return job.arrived + min(promised[0] - lead_s, 0.55 * promised[0])
 
 
-def order_key(
-    job: Job,
+def start_dues(
+    job: Job, waits: dict[str, tuple[float, ...]], run_s: float, now: Steady
+) -> Iterator[float]:
+    """Until when the job should have been started, by the promises that may still be kept."""
+    spec = job.spec
+    if spec.deadline_s is not None:
+        for times in (1.0, 1.5):
+            yield job.arrived + spec.deadline_s * times - run_s
+    for wait in waits.get(spec.klass, ()):
+        yield job.arrived + wait
+
+
+def order_jobs(
+    jobs: list[Job],
     fleet: Fleet,
     teams: dict[str, Team],
     waits: dict[str, tuple[float, ...]],
+    capacity: Callable[[int], float],
+    run_s: Callable[[Job], float],
     now: Steady,
-) -> tuple[float, ...]:
-    """Priority, then the team's guarantee, then the next promise, then age."""
-    spec = job.spec
-    team = teams.get(spec.team)
-    guaranteed = team is not None and (
-        fleet.team_cpus.get(spec.team, 0.0) + spec.cpus <= team.cpus + EPS
-    )
-    return (-spec.priority, not guaranteed, next_due(job, waits, now), job.arrived)
+) -> list[Job]:
+    """Priority, then the team's guarantee, then the next promise, then age.
+
+    When more is asked than can be done, order of promises alone would make everything late
+    together. So each level is gone through by promise, and when one cannot be kept any more the
+    job with the most work so far is set aside behind those that can be (the rule of Moore and
+    Hodgson, which leaves the fewest late)."""
+    levels: dict[tuple[int, bool], list[Job]] = {}
+    for job in jobs:
+        spec = job.spec
+        team = teams.get(spec.team)
+        guaranteed = team is not None and (
+            fleet.team_cpus.get(spec.team, 0.0) + spec.cpus <= team.cpus + EPS
+        )
+        levels.setdefault((-spec.priority, not guaranteed), []).append(job)
+    ordered: list[Job] = []
+    begun = 0.0  # seconds of the fleet asked for by the levels above
+    for level in sorted(levels):
+        cpus = max(1.0, capacity(-level[0]))
+        dated: list[tuple[float, float, str, float, Job]] = []
+        late: list[tuple[float, float, str, Job]] = []
+        for job in levels[level]:
+            run = run_s(job)
+            seconds = (job.pending + job.queued) * job.spec.cpus * run / cpus
+            due = next((d for d in start_dues(job, waits, run, now) if d > now), None)
+            if due is None:
+                late.append((seconds, job.arrived, job.id, job))
+            else:
+                dated.append((due, job.arrived, job.id, seconds, job))
+        dated.sort(key=lambda entry: entry[:3])
+        kept: list[tuple[float, float, str, Job]] = []  # a heap, the most work first
+        set_aside: set[str] = set()
+        total = begun
+        for when, began, name, work, candidate in dated:
+            heapq.heappush(kept, (-work, began, name, candidate))
+            total += work
+            if now + total > when:
+                dropped = heapq.heappop(kept)
+                total += dropped[0]
+                late.append((-dropped[0], dropped[1], dropped[2], dropped[3]))
+                set_aside.add(dropped[2])
+        ordered += [e[4] for e in dated if e[2] not in set_aside]
+        late.sort(key=lambda e: e[:3])
+        ordered += [e[3] for e in late]
+        for dated_entry in dated:
+            dated_entry[4].late = False
+        for late_entry in late:
+            late_entry[3].late = True
+        begun = total + sum(late_entry[0] for late_entry in late)
+    return ordered
 
 
 @dataclass(slots=True)
@@ -299,4 +337,5 @@
     ran = now - p.since if p.phase is Phase.RUNNING else 0.0
     if p.job.spec.checkpoint_s > 0:
         ran = min(ran, p.job.spec.checkpoint_s)
-    return (ran + 1.0) * p.job.spec.cpus
+    # Jobs that will be late anyway lose less by it; the constant stands for starting again.
+    return (ran + 1.5) * p.job.spec.cpus * (0.7 if p.job.late else 1.0)
--- a/src/eldercart/core/rental.py
+++ b/src/eldercart/core/rental.py
@@ -52,8 +52,8 @@
     _last: Steady | None = None
     _counter: int = 0
 
-    def measure(self, jobs: Iterable[Job], booked: float, now: Steady) -> None:
-        ordinary = 0.0
+    def measure(self, jobs: Iterable[Job], booked: tuple[float, float], now: Steady) -> None:
+        ordinary = booked[0]
         by_team: dict[str, float] = {}
         for job in jobs:
             if job.cancelled or job.hold_until > now:
@@ -70,7 +70,7 @@
         self._last = now
         decay = 0.5 ** (elapsed / self.tuning.demand_memory_s)
         self.ordinary.update(ordinary, decay)
-        self.any.update(sum(by_team.values()) + booked, decay)
+        self.any.update(sum(by_team.values()) + booked[1], decay)
 
     def targets(self) -> tuple[float, float]:
         share = 1.0 + self.tuning.headroom_share
