--- a/src/eldercart/core/rental.py
+++ b/src/eldercart/core/rental.py
@@ -1,6 +1,7 @@
 """Renting and returning machines: demand, supply, refusals, late boots."""
 
 import math
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -15,14 +16,21 @@
 
 @dataclass(slots=True)
 class Demand:
-    """CPUs asked for now, and the remembered peak that decays."""
+    """CPUs asked for, and the peak of a window: kept in full between bursts that follow each
+    other, and given up in one go once they no longer do."""
 
-    now: float = 0.0
-    peak: float = 0.0
+    _peaks: deque[tuple[Steady, float]] = field(default_factory=deque)  # falling from the left
 
-    def update(self, now: float, decay: float) -> None:
-        self.now = now
-        self.peak = max(now, self.peak * decay)
+    def update(self, cpus: float, now: Steady, memory_s: float) -> None:
+        while self._peaks and self._peaks[-1][1] <= cpus:
+            self._peaks.pop()
+        self._peaks.append((now, cpus))
+        while self._peaks[0][0] < now - memory_s:
+            self._peaks.popleft()
+
+    @property
+    def peak(self) -> float:
+        return self._peaks[0][1] if self._peaks else 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +58,6 @@
     any: Demand = field(default_factory=Demand)
     refused: dict[Offer, Steady] = field(default_factory=dict)
     hires: dict[str, Hire] = field(default_factory=dict)
-    _last: Steady | None = None
     _counter: int = 0
 
     def measure(self, jobs: Iterable[Job], booked: tuple[float, float], now: Steady) -> None:
@@ -67,11 +74,9 @@
             by_team[spec.team] = by_team.get(spec.team, 0.0) + cpus
             if not spec.spot:
                 ordinary += cpus
-        elapsed = 0.0 if self._last is None else now - self._last
-        self._last = now
-        decay = 0.5 ** (elapsed / self.tuning.demand_memory_s)
-        self.ordinary.update(ordinary, decay)
-        self.any.update(sum(by_team.values()) + booked[1], decay)
+        memory = self.tuning.demand_memory_s
+        self.ordinary.update(ordinary, now, memory)
+        self.any.update(sum(by_team.values()) + booked[1], now, memory)
 
     def targets(self) -> tuple[float, float]:
         share = 1.0 + self.tuning.headroom_share
