Plan nothing while the store refuses writes; launch what is written ahead by rank

Cause: in an outage of the state service the planner took back what had been written ahead after its patience, and wrote nothing in its place.

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -46,6 +46,7 @@
 
 log = logging.getLogger("eldercart.controller")
 
+WRITE_PAUSE_S = 0.25  # after a write that was not carried out
 TXN_BYTES = 56 * 1024  # the limit is 64 KiB; keys, guards and names take the rest
 
 
@@ -144,6 +145,8 @@
         self._orphans: list[tuple[str, Revision]] = []
         self._list_seen = False
         self._summary_due = now
+        self._outage = False  # the last write was not carried out
+        self._write_pause = Steady(-1e9)
         self._waiting: list[JobSpec] = []  # of jobs that found no room in the last pass
 
     # ------------------------------------------------------------------ take-over
@@ -372,7 +375,9 @@
     def _launch_queued(self, m: Machine, calls: list[workers.Command], now: Steady) -> None:
         """The report has shown what room there is; what was written ahead may start at once."""
         teams = self.settings.teams
-        waiting = sorted(m.queue.values(), key=lambda p: (-p.job.spec.priority, p.queued_at))
+        waiting = sorted(
+            m.queue.values(), key=lambda p: (-p.job.spec.priority, p.job.rank, p.queued_at)
+        )
         for p in waiting:
             if p.phase is not Phase.WANTED or p.key in m.placed or not m.usable:
                 continue
@@ -474,7 +479,10 @@
             self._summary_due = Steady(now + 10.0)
             self._summary(now)
         since = now - self._planned
-        if since >= 1.0 or (self._plan_wanted and since >= self.tuning.plan_interval_s):
+        # While nothing can be written, nothing new can be placed, and what was written ahead is
+        # all that can start: to plan anew would only take it back.
+        due = since >= 1.0 or (self._plan_wanted and since >= self.tuning.plan_interval_s)
+        if due and not self._outage:
             self._plan(now)
 
     def _summary(self, now: Steady) -> None:
@@ -624,6 +632,8 @@
         waiting = rules.order_jobs(
             waiting, self.fleet, teams, waits, capacity, self.predictor.run_s, now
         )
+        for rank, job in enumerate(waiting):
+            job.rank = rank
         self.fleet.clear_holds()
         self._revoke_queued(now)
         soon: dict[str, rules.Room] | None = None
@@ -788,6 +798,8 @@
         a version is needed for the next write of the same record."""
         if self._txn is not None or self.reread or self.reread_under_way or ops < 1:
             return None
+        if now < self._write_pause:
+            return None
         ops = min(ops, self.settings.txn_ops)
         pending = PendingTxn(Txn({LEAD_KEY: Revision(self.epoch)}))
         if self._add_ends(pending, ops):
@@ -895,6 +907,9 @@
     ) -> bool:
         """Returns whether this leader is deposed."""
         self._txn = None
+        self._outage = outcome in (Outcome.REFUSED, Outcome.UNKNOWN)
+        if self._outage:
+            self._write_pause = Steady(now + WRITE_PAUSE_S)
         if outcome is Outcome.OK:
             self._committed(pending, revision, now)
             return False
