--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -117,6 +117,7 @@
         self.types = types
         self._zero_wall = wall - now  # time of day at steady zero, good to the settings' bound
         self.jobs = JobBook(0)
+        self.promises = rules.Promises(settings.waits, settings.finishes)
         self.fleet = Fleet()
         self.rental = Rental(tuning, settings.teams)
         self.predictor = Predictor(tuning)
@@ -145,6 +146,7 @@
         self._orphans: list[tuple[str, Revision]] = []
         self._list_seen = False
         self._summary_due = now
+        self._start_waits: list[float] = []  # seconds from submission, of tasks that began
         self._outage = False  # the last write was not carried out
         self._write_pause = Steady(-1e9)
         self._waiting: list[JobSpec] = []  # of jobs that found no room in the last pass
@@ -338,6 +340,8 @@
                 p.reported = True
                 self.fleet.note_image(m, p.job.spec.image, p.job.spec.image_gb)
             if t.state == workers.TASK_RUNNING:
+                if p.phase is not Phase.RUNNING:
+                    self._start_waits.append(now - p.job.arrived)
                 self.jobs.set_phase(p, Phase.RUNNING, now)
             elif t.state == workers.SAVING:
                 self.jobs.set_phase(p, Phase.SAVING, now)
@@ -622,7 +626,6 @@
         if not machines:
             return
         teams = self.settings.teams
-        waits = self.settings.waits
         usable = sum(m.type.cpus for m in machines)
         used = self._used_by_priority()
 
@@ -633,7 +636,7 @@
             waiting,
             self.fleet,
             teams,
-            waits,
+            self.promises,
             capacity,
             self.predictor.run_s,
             self.predictor.longest_s,
@@ -681,9 +684,9 @@
                 self._waiting.append(spec)
             left = min(job.pending, rules.team_room(spec, self.fleet, teams))
             if left > 0 and not (spec.together or spec.spread):
-                lead = 2 * self.settings.report_s + 1.0
+                lead = 2.5 * self.settings.report_s + 1.0
                 patience = self.tuning.preempt_wait_s
-                if now >= rules.preempts_from(job, waits, lead, patience):
+                if now >= self.promises.preempts_from(job, lead, patience):
                     if soon is None:
                         soon = self._soon_free(machines)
                     left -= self._claim(job, left, machines, soon, now)
@@ -998,6 +1001,10 @@
                 " ".join(f"{r:.1f}" for r in sorted(job.ran)[:: max(1, len(job.ran) // 8)]),
             )  # fmt: skip
 
+    def take_start_waits(self) -> list[float]:
+        out, self._start_waits = self._start_waits, []
+        return out
+
     def take_finished(self) -> list[tuple[JobId, str]]:
         out, self.finished = self.finished, []
         return out
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -1,7 +1,7 @@
 """Which task goes where: order of jobs, choice of machines, and the limits that never give way."""
 
 import heapq
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from eldercart.core.fleet import Fleet, Machine
@@ -172,32 +172,37 @@
     return chosen
 
 
-def preempts_from(
-    job: Job, waits: dict[str, tuple[float, ...]], lead_s: float, patience_s: float
-) -> float:
-    """From when on a waiting job may have others stopped. Until its promise comes near it takes
-    what ends by itself: stopped work is lost, and most of it would have ended soon."""
-    promised = waits.get(job.spec.klass)
-    if not promised:
-        return job.arrived + patience_s
-    return job.arrived + min(promised[0] - lead_s, 0.55 * promised[0])
+@dataclass(frozen=True, slots=True)
+class Promises:
+    """What the users of a class were promised, in seconds from submission."""
 
+    waits: dict[str, tuple[float, ...]]
+    finishes: dict[str, tuple[float, ...]]
 
-def start_dues(job: Job, waits: dict[str, tuple[float, ...]], longest_s: float) -> Iterator[float]:
-    """Until when the job should have been started, by the promises that may still be kept."""
-    spec = job.spec
-    if spec.deadline_s is not None:
-        for times in (1.0, 1.5):
-            yield job.arrived + spec.deadline_s * times - longest_s
-    for wait in waits.get(spec.klass, ()):
-        yield job.arrived + wait
+    def start_dues(self, job: Job, longest_s: float) -> list[float]:
+        """Until when the job should have been started, the nearest first."""
+        spec = job.spec
+        dues = [job.arrived + wait for wait in self.waits.get(spec.klass, ())]
+        done_by = list(self.finishes.get(spec.klass, ()))
+        if spec.deadline_s is not None:
+            done_by += [spec.deadline_s, 1.5 * spec.deadline_s]
+        dues += [job.arrived + within - longest_s for within in done_by]
+        return sorted(dues)
+
+    def preempts_from(self, job: Job, lead_s: float, patience_s: float) -> float:
+        """From when on a waiting job may have others stopped. Until its promise comes near it
+        takes what ends by itself: stopped work is lost, and most would have ended soon."""
+        waits = self.waits.get(job.spec.klass)
+        if not waits:
+            return job.arrived + patience_s
+        return job.arrived + min(waits[0] - lead_s, 0.55 * waits[0])
 
 
 def order_jobs(
     jobs: list[Job],
     fleet: Fleet,
     teams: dict[str, Team],
-    waits: dict[str, tuple[float, ...]],
+    promises: Promises,
     capacity: Callable[[int], float],
     run_s: Callable[[Job], float],
     longest_s: Callable[[Job], float],
@@ -226,7 +231,7 @@
         for job in levels[level]:
             run = run_s(job)
             seconds = (job.pending + job.queued) * job.spec.cpus * run / cpus
-            dues = start_dues(job, waits, longest_s(job))
+            dues = promises.start_dues(job, longest_s(job))
             due = next((d for d in dues if d > now), None)
             if due is None:
                 late.append((seconds, job.arrived, job.id, job))
--- a/src/eldercart/net/node.py
+++ b/src/eldercart/net/node.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import orjson
+
 from eldercart.core import placement as rules
 from eldercart.core.controller import (
     Controller,
@@ -31,6 +33,7 @@
 )
 from eldercart.net.buckets import Bucket
 from eldercart.net.client import HttpClient, reactor
+from eldercart.net.meters import Meters
 from eldercart.net.server import JsonFactory, JsonRequest, listen
 from eldercart.net.store import FOR_ACCEPTING, FOR_ENDS, FOR_PLACING, FOR_POLLS, Store
 from eldercart.settings import NodeSettings, Tuning
@@ -75,7 +78,7 @@
         self._lead_watch = Revision(0)
         self._watching_lead = False
         self._last_tick = steady()
-        self._stopped = False
+        self._meters = Meters()
 
     # ------------------------------------------------------------------ life
 
@@ -90,6 +93,8 @@
     def _tick(self) -> None:
         reactor.callLater(TICK_S, self._tick)
         now = steady()
+        self._meters.add("loop_lag", now - self._last_tick - TICK_S)
+        self._last_tick = now
         self._elect(now)
         if not self._watching_lead and self._ready:
             self._watch_lead()
@@ -494,6 +499,9 @@
             request.reply(503, users.error_body("overtaken"), 1)
             return
         request.reply(200, workers.commands_body(c.epoch, commands))
+        self._meters.add("report", steady() - now)
+        for wait in c.take_start_waits():
+            self._meters.add("start_wait", wait)
         self._pump()
 
     # -- submissions
@@ -769,14 +777,13 @@
             tell("hello")
 
     def _status_page(self) -> bytes:
-        import orjson
-
         c = self.controller
         page: dict[str, Any] = {
             "label": self.settings.label,
             "role": self.election.role.value,
             "leader": self.election.leader,
             "epoch": self.election.epoch,
+            "milliseconds": self._meters.page(),
         }
         if c is not None:
             page["jobs"] = len(c.jobs.jobs)
--- a/src/eldercart/settings/platform.py
+++ b/src/eldercart/settings/platform.py
@@ -48,6 +48,7 @@
     nodes: int
     teams: dict[str, Team]
     waits: dict[str, tuple[float, ...]]  # class -> the waits its users were promised, in seconds
+    finishes: dict[str, tuple[float, ...]]  # class -> within what its jobs should be done
     report_s: float
     lease_s: float
     cancel_s: float
@@ -122,12 +123,13 @@
             read.number(at + "gpus_max"),
         )
         teams[team.name] = team
-    waits: dict[str, tuple[float, ...]] = {}
+    promised: dict[str, dict[str, tuple[float, ...]]] = {"wait": {}, "finished": {}}
     for i in read.items("settings.objectives"):
         at = f"settings.objectives.{i}."
-        if read.text(at + "kind") == "wait":
+        of_kind = promised.get(read.text(at + "kind"))
+        if of_kind is not None:
             klass, within = read.text(at + "class"), read.number(at + "within_s")
-            waits[klass] = tuple(sorted({*waits.get(klass, ()), within}))
+            of_kind[klass] = tuple(sorted({*of_kind.get(klass, ()), within}))
     return NodeSettings(
         label=NodeId(read.text("label")),
         zone=read.text("location"),
@@ -145,7 +147,8 @@
         state=read.endpoint("endpoints.state"),
         nodes=int(read.number("settings.count", 1)),
         teams=teams,
-        waits=waits,
+        waits=promised["wait"],
+        finishes=promised["finished"],
         report_s=read.number("settings.workers.report_s", 0.001),
         lease_s=read.number("settings.workers.lease_s", 0.001),
         cancel_s=read.number("settings.workers.cancel_s", 0.001),
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -212,6 +212,8 @@
 
 # -- order
 
+NONE = rules.Promises({}, {})
+
 
 def test_order_of_jobs() -> None:
     book, fleet = JobBook(100), Fleet()
@@ -227,15 +229,9 @@
         book.add(spec, 100, Steady(0.0))
     fleet.team_cpus["t2"] = 40.0
     ordered = rules.order_jobs(
-        list(book.jobs.values()),
-        fleet,
-        teams,
-        {},
-        lambda _: 100.0,
-        lambda j: 6.0,
-        lambda j: 6.0,
-        Steady(1.0),
-    )
+        list(book.jobs.values()), fleet, teams, NONE,
+        lambda _: 100.0, lambda j: 6.0, lambda j: 6.0, Steady(1.0),
+    )  # fmt: skip
     assert [j.id[-1] for j in ordered] == ["3", "2", "1", "0"]
 
 
@@ -246,7 +242,7 @@
         body = submission(f"wk-{i:06d}", parcels=tasks, dueS=40.0 + i)
         book.add(users.parse_submission(body), 100, Steady(0.0))
     ordered = rules.order_jobs(
-        list(book.jobs.values()), Fleet(), parse_platform(PLATFORM).teams, {},
+        list(book.jobs.values()), Fleet(), parse_platform(PLATFORM).teams, NONE,
         lambda _: 16.0, lambda j: 6.0, lambda j: 6.0, Steady(1.0),
     )  # fmt: skip
     assert [j.id[-1] for j in ordered] == ["1", "2", "3", "0"]
@@ -266,3 +262,12 @@
     b.force(Steady(0.1), 5)
     assert b.available(Steady(0.5)) < 1
     assert b.available(Steady(100.0)) == 10
+
+
+def test_promises_count_back_to_a_start() -> None:
+    p = rules.Promises({"slow": (8.0, 20.0)}, {"slow": (60.0,)})
+    late = job(1, "a", dueS=30.0)
+    assert p.start_dues(late, 12.0) == [9.0, 19.0, 21.0, 34.0, 49.0]
+    assert p.preempts_from(late, 3.0, 5.0) == pytest.approx(1.0 + 0.55 * 8.0)
+    assert p.preempts_from(late, 6.0, 5.0) == pytest.approx(1.0 + 2.0)
+    assert rules.Promises({}, {}).preempts_from(late, 3.0, 5.0) == 6.0
