Forget peaks of demand once submissions have stopped by their own pace

Cause: after the last submission the fleet stood for the 75 s of the window and 30 s more. Ruled out: a shorter window for all times (tried before: deadlines suffer).

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -221,6 +221,7 @@
             return
         arrived = Steady(min(now, at - self._zero_wall))
         self.predictor.arrived(self.jobs.add(spec, size, arrived), now)
+        self.rental.arrived(now)
         self._plan_wanted = True
         self._rental_due = now
         log.info(
--- a/src/eldercart/core/rental.py
+++ b/src/eldercart/core/rental.py
@@ -13,6 +13,8 @@
 from eldercart.units import Steady
 from eldercart.wire.cloud import MAX_RENT, MachineType
 
+PAUSE_GAPS = 12.0  # usual gaps without a submission after which the stream counts as stopped
+
 
 @dataclass(slots=True)
 class Demand:
@@ -59,6 +61,15 @@
     refused: dict[Offer, Steady] = field(default_factory=dict)
     hires: dict[str, Hire] = field(default_factory=dict)
     _counter: int = 0
+    _last_arrival: Steady | None = None
+    _gap: float = 0.0  # mean seconds between submissions, recent ones weighing more
+    _quiet: bool = False
+
+    def arrived(self, now: Steady) -> None:
+        if self._last_arrival is not None:
+            gap = now - self._last_arrival
+            self._gap = gap if self._gap == 0.0 else 0.9 * self._gap + 0.1 * gap
+        self._last_arrival = now
 
     def measure(self, jobs: Iterable[Job], booked: tuple[float, float], now: Steady) -> None:
         ordinary = booked[0]
@@ -74,7 +85,11 @@
             by_team[spec.team] = by_team.get(spec.team, 0.0) + cpus
             if not spec.spot:
                 ordinary += cpus
-        memory = self.tuning.demand_memory_s
+        # Peaks are remembered because more work like it will come. When submissions have stopped,
+        # by their own usual pace, it will not: the fleet shrinks to what is left to do.
+        pause = max(self.tuning.pause_s, PAUSE_GAPS * self._gap)
+        self._quiet = self._last_arrival is None or now - self._last_arrival > pause
+        memory = 0.0 if self._quiet else self.tuning.demand_memory_s
         self.ordinary.update(ordinary, now, memory)
         self.any.update(sum(by_team.values()) + booked[1], now, memory)
 
@@ -200,6 +215,7 @@
         """Idle machines that neither demand nor booking needs."""
         want_ordinary, want_any = self.targets()
         supply_ordinary = supply_any = 0.0
+        idle_s = self.tuning.idle_return_s / (3.0 if self._quiet else 1.0)
         idle = []
         for m in machines:
             if m.life not in (Life.BOOTING, Life.UP) or m.draining:
@@ -212,7 +228,7 @@
                 and m.confirmed
                 and not m.placed
                 and not m.foreign
-                and now - m.idle_since >= self.tuning.idle_return_s
+                and now - m.idle_since >= idle_s
             ):
                 idle.append(m)
         # The dearest first.
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -10,6 +10,7 @@
 from eldercart.core.fleet import Fleet
 from eldercart.core.jobs import Job, JobBook
 from eldercart.core.prediction import Predictor
+from eldercart.core.rental import Rental
 from eldercart.election import Claim, DropHold, Election, OpenHold, ReadLead, Role, TouchHold
 from eldercart.net.buckets import Bucket
 from eldercart.settings import BadSettings, load_tuning
@@ -271,3 +272,19 @@
     assert p.preempts_from(late, 3.0, 5.0) == pytest.approx(1.0 + 0.55 * 8.0)
     assert p.preempts_from(late, 6.0, 5.0) == pytest.approx(1.0 + 2.0)
     assert rules.Promises({}, {}).preempts_from(late, 3.0, 5.0) == 6.0
+
+
+def test_peak_is_remembered_while_submissions_come() -> None:
+    """Bursts that follow each other find the fleet standing; after the last one it goes."""
+    rental = Rental(load_tuning(values={"demand_memory_s": 60, "pause_s": 20}), {})
+    burst = job(1, "a", parcels=50)
+    for t in range(0, 20, 2):
+        rental.arrived(Steady(float(t)))
+    rental.measure([burst], (0.0, 0.0), Steady(18.0))
+    rental.arrived(Steady(20.0))
+    rental.measure([], (0.0, 0.0), Steady(30.0))
+    assert rental.any.peak == 100.0
+    rental.measure([], (0.0, 0.0), Steady(43.0))
+    assert rental.any.peak == 100.0, "twelve usual gaps have not passed"
+    rental.measure([], (0.0, 0.0), Steady(46.0))
+    assert rental.any.peak == 0.0
