Less work for the leader; a node that the store refuses alone turns users away

Health: with the store failing for 3 s a node asks its peers; served ones make it unhealthy, an outage for all does not. Table of cases with it.

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -46,6 +46,7 @@
 
 log = logging.getLogger("eldercart.controller")
 
+WATCH_S = 0.5  # between two looks at silence, late boots and overdue kills
 WRITE_PAUSE_S = 0.25  # after a write that was not carried out
 TXN_BYTES = 56 * 1024  # the limit is 64 KiB; keys, guards and names take the rest
 
@@ -147,6 +148,7 @@
         self._list_seen = False
         self._summary_due = now
         self._start_waits: list[float] = []  # seconds from submission, of tasks that began
+        self._watch_due = now
         self._outage = False  # the last write was not carried out
         self._write_pause = Steady(-1e9)
         self._waiting: list[JobSpec] = []  # of jobs that found no room in the last pass
@@ -476,7 +478,9 @@
             # This process stood still: the silence was its own.
             for m in self.fleet.machines.values():
                 m.last_heard = Steady(m.last_heard + gap)
-        self._watch_machines(now)
+        if now >= self._watch_due:
+            self._watch_due = Steady(now + WATCH_S)
+            self._watch_machines(now)
         if now >= self._rental_due:
             self._rental_due = Steady(now + 1.0)
             self._rent(now)
@@ -690,7 +694,8 @@
                 if now >= self.promises.preempts_from(job, lead, patience):
                     if soon is None:
                         soon = self._soon_free(machines)
-                    left -= self._claim(job, left, machines, soon, now)
+                    lower = any(cpus > 0 for below, cpus in used.items() if below < spec.priority)
+                    left -= self._claim(job, left, machines, soon, lower, now)
                 if left > 0:
                     self._ahead(job, left, machines, now)
 
@@ -780,13 +785,14 @@
         return soon
 
     def _claim(
-        self, job: Job, left: int, machines: list[Machine], soon: dict[str, rules.Room], now: Steady
-    ) -> int:
+        self, job: Job, left: int, machines: list[Machine], soon: dict[str, rules.Room],
+        lower: bool, now: Steady,
+    ) -> int:  # fmt: skip
         """Holds room for a job that found none, and stops tasks of lower priority for it. Without
         the hold, small tasks would take each freed bit and a larger one would wait for ever.
         Returns how many tasks now wait for such room, written ahead."""
         claimed = 0
-        for claim in rules.claim_room(job, left, machines, soon, now):
+        for claim in rules.claim_room(job, left, machines, soon, lower, now):
             self._enqueue(job, claim.machine, claim.number, now)
             claimed += claim.number
             for p in claim.victims:
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -270,11 +270,13 @@
 
 
 def claim_room(
-    job: Job, wanted: int, machines: Iterable[Machine], soon: dict[str, Room], now: Steady
-) -> list[Claim]:
+    job: Job, wanted: int, machines: Iterable[Machine], soon: dict[str, Room], lower: bool,
+    now: Steady,
+) -> list[Claim]:  # fmt: skip
     """Where a job that found no room gets some: first where tasks are being stopped anyway, then
     by stopping tasks of lower priority, those that lose the least work first. `soon` is the room
-    once everything being stopped has gone; it is reduced by what is claimed."""
+    once everything being stopped has gone; it is reduced by what is claimed. `lower`: whether
+    anything of lower priority is placed at all."""
     spec = job.spec
     claims: list[Claim] = []
     rest: list[Machine] = []
@@ -290,6 +292,8 @@
             claims.append(Claim(m, n, []))
             wanted -= n
         rest.append(m)
+    if not lower:
+        return claims
     offers: list[tuple[float, str, Machine, list[Placement]]] = []
     for m in rest:
         offer = _cheapest(job, m, soon[m.id], now, set())
--- a/src/eldercart/net/node.py
+++ b/src/eldercart/net/node.py
@@ -53,6 +53,17 @@
 RETRY_S = 2  # a change of leader or a short outage is over by then, often
 
 
+ALONE_S = 3.0  # of refusals by the store before the peers are asked
+
+
+def could_serve(ready: bool, failing_s: float, peer_served_ago_s: float) -> bool:
+    """Whether users should come here. In an outage of the store every node is as good as the
+    next, and turning all away would only shut the door for longer afterwards; a node that the
+    store refuses while its peers are served should be left out."""
+    alone = failing_s >= ALONE_S and peer_served_ago_s < 3.0
+    return ready and not alone
+
+
 def steady() -> Steady:
     return Steady(time.monotonic())
 
@@ -73,6 +84,8 @@
         self._cloud = HttpClient(settings.cloud, 2.0, 4)
         rate = 0.9 * settings.cloud_rps
         self._cloud_tokens = Bucket(rate, max(1.0, rate), steady())
+        self._peer_served = Steady(-1e9)  # when a peer last said that the store serves it
+        self._compared = Steady(-1e9)
         self._life = 0  # counts leaderships: answers to an earlier one's calls are dropped
         self._types_asked = Steady(-1e9)
         self._lead_watch = Revision(0)
@@ -96,6 +109,7 @@
         self._meters.add("loop_lag", now - self._last_tick - TICK_S)
         self._last_tick = now
         self._elect(now)
+        self._compare_with_peers(now)
         if not self._watching_lead and self._ready:
             self._watch_lead()
         c = self.controller
@@ -473,7 +487,27 @@
         serve(request)
 
     def _healthy(self) -> bool:
-        return self._ready
+        now = steady()
+        failing = self.store.failing_since
+        return could_serve(
+            self._ready,
+            0.0 if failing is None else now - failing,
+            now - self._peer_served,
+        )
+
+    def _compare_with_peers(self, now: Steady) -> None:
+        """While the store refuses this node, asks whether the others are served."""
+        failing = self.store.failing_since
+        if failing is None or now - failing < ALONE_S or now - self._compared < 1.0:
+            return
+        self._compared = now
+
+        def heard(told: peers.Told | None) -> None:
+            if told is not None and told.store_ok:
+                self._peer_served = steady()
+
+        for label in self._peers:
+            self._ask(label, peers.HELLO, "", heard)
 
     def _report(self, request: JsonRequest) -> None:
         c = self.controller
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -13,6 +13,7 @@
 from eldercart.core.rental import Rental
 from eldercart.election import Claim, DropHold, Election, OpenHold, ReadLead, Role, TouchHold
 from eldercart.net.buckets import Bucket
+from eldercart.net.node import could_serve
 from eldercart.settings import BadSettings, load_tuning
 from eldercart.settings.platform import parse_platform
 from eldercart.units import Epoch, LeaseId, NodeId, Revision, Steady
@@ -250,6 +251,25 @@
     assert [j.late for j in ordered] == [False, False, False, True]
 
 
+# -- health
+
+
+@pytest.mark.parametrize(
+    ("ready", "failing_s", "peer_served_ago_s", "expected"),
+    [
+        (False, 0.0, 1e9, False),
+        (True, 0.0, 1e9, True),
+        (True, 30.0, 1e9, True),  # an outage for everybody
+        (True, 1.0, 0.5, True),  # a moment's refusal
+        (True, 5.0, 0.5, False),  # refused alone
+    ],
+)
+def test_could_serve(
+    ready: bool, failing_s: float, peer_served_ago_s: float, expected: bool
+) -> None:
+    assert could_serve(ready, failing_s, peer_served_ago_s) is expected
+
+
 # -- tokens
 
 
