--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -46,6 +46,7 @@
 
 log = logging.getLogger("eldercart.controller")
 
+DRAIN_FACTOR = 1.3  # of the time left, for run times are uncertain
 WATCH_S = 0.5  # between two looks at silence, late boots and overdue kills
 WRITE_PAUSE_S = 0.25  # after a write that was not carried out
 TXN_BYTES = 56 * 1024  # the limit is 64 KiB; keys, guards and names take the rest
@@ -290,8 +291,8 @@
             m.idle_since = now
             self._plan_wanted = True
             log.info("machine up machine=%s after=%.1f", m.id, now - m.hired)
-        if r.notice_s is not None and m.notice_at is None:
-            m.notice_at = now
+        if r.notice_s is not None and m.taken_at is None:
+            m.taken_at = Steady(now + r.notice_s)
             m.draining = True
             log.info("spot notice machine=%s seconds=%.0f", m.id, r.notice_s)
             self._rental_due = now
@@ -534,11 +535,15 @@
         return max(least, reports)
 
     def _watch_machines(self, now: Steady) -> None:
-        patience = self.patience
         kill_patience = self.settings.cancel_s * 0.6
         for m in self.fleet.machines.values():
             if m.life is Life.LEAVING:
                 continue
+            patience = self.patience
+            if m.taken_at is not None:
+                self._drain(m, m.taken_at, now)
+                if now > m.taken_at:
+                    patience = 1.5 * self.settings.report_s  # it was told to us that it would go
             if m.life is Life.UP and now - m.last_heard > patience:
                 log.info("machine silent machine=%s seconds=%.1f", m.id, now - m.last_heard)
                 self._doom(m, now)
@@ -566,6 +571,20 @@
                         self._doom(m, now)
                         break
 
+    def _drain(self, m: Machine, taken_at: Steady, now: Steady) -> None:
+        """A task that cannot end before the machine is taken starts again elsewhere now rather
+        than after the loss; one that may end, or can save as it goes, runs on."""
+        left = taken_at - now
+        for p in list(m.placed.values()):
+            if p.stopping or p.phase not in (Phase.WANTED, Phase.FETCHING, Phase.RUNNING):
+                continue
+            if not p.since_known:
+                continue
+            ran = now - p.since if p.phase is Phase.RUNNING else 0.0
+            saves = p.job.spec.checkpoint_s > 0.0 and p.job.spec.save_s < left
+            if saves or self.predictor.run_s(p.job) - ran > DRAIN_FACTOR * left:
+                self._stop(p, now)
+
     def _doom(self, m: Machine, now: Steady) -> None:
         m.life = Life.LEAVING
         m.draining = True
--- a/src/eldercart/core/fleet.py
+++ b/src/eldercart/core/fleet.py
@@ -40,7 +40,7 @@
     idle_since: Steady = Steady(0)
     draining: bool = False  # notice or quarantine: nothing new starts here
     quarantined: bool = False
-    notice_at: Steady | None = None
+    taken_at: Steady | None = None  # when the cloud takes it back, by its notice
     images: dict[str, float] = field(default_factory=dict)  # name -> GB, least recent first
     failed_jobs: set[str] = field(default_factory=set)
     paces: list[tuple[str, float]] = field(default_factory=list)  # run time / the job's median
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -96,13 +96,14 @@
     hangs_until: float = -1.0
     faulty: bool = False
     pace: float = 1.0
+    notice: float | None = None
 
     def report(self) -> dict[str, Any]:
         self.seq += 1
         return {
             "wagon": self.id, "address": "10.1.0.1:9000", "breed": self.type["sku"],
             "yard": self.zone, "loaners": self.spot, "stint": self.session, "tally": self.seq,
-            "whip": self.epoch, "recallS": None,
+            "whip": self.epoch, "recallS": self.notice,
             "parcels": [
                 {"parcel": k, "try": t.attempt, "standing": t.state}
                 | ({"cause": t.why} if t.state == "ended" else {})
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -232,3 +232,17 @@
 
     sizes = [len(orjson.dumps(i["v"])) for i in w.store.range("place/")]
     assert sizes and max(sizes) <= w.settings.value_bytes
+
+
+@pytest.mark.parametrize(("run_s", "moves"), [(60.0, True), (12.0, False)])
+def test_spot_notice(run_s: float, moves: bool) -> None:
+    """What cannot end in time starts elsewhere at once; what can is left alone."""
+    w = World(15)
+    w.submit("wk-000001", run_s=run_s, haulS=run_s, parcels=4)
+    w.run(12)
+    victim = next(m for m in w.cloud.machines.values() if m.on())
+    held = set(victim.on())
+    victim.notice = 10.0
+    w.run(8)
+    elsewhere = {k for m in w.cloud.machines.values() if m is not victim for k in m.tasks}
+    assert bool(held & elsewhere) is moves
