Place nothing of a job bound to zones until a new leader knows its machines' zones

Cause: found by reading. After a change of leader a recorded placement's machine is known by name alone until its first report; counted under no real zone, a spread job could have got more than half of its tasks into one. Test: both kinds of job across a change of leader.

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -195,7 +195,9 @@
             m = self.fleet.get(p.machine)
             if m is None:
                 # Type and zone come with its report; until then it takes nothing new.
-                m = self.fleet.add(p.machine, _unknown_type("?"), "?", True, Life.UP, now, heard)
+                m = self.fleet.add(
+                    p.machine, _unknown_type("?"), rules.UNKNOWN_ZONE, True, Life.UP, now, heard
+                )
             self.fleet.occupy(m, p)
             p.stopping = p.job.ended is not None
             # Its run time will be seen only in part. Taken for a whole one it would make all
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -12,6 +12,7 @@
 from eldercart.wire.users import JobSpec
 
 EPS = 1e-6
+UNKNOWN_ZONE = "?"
 
 
 def fits_type(spec: JobSpec, kind: MachineType) -> bool:
@@ -146,6 +147,9 @@
     zones: dict[str, int] = {}
     if spec.together or spec.spread:
         zones = in_zones(job, fleet)
+        if UNKNOWN_ZONE in zones:
+            # After a change of leader: where some of its tasks are comes with the next reports.
+            return []
     if spec.together:
         if zones:
             only = next(iter(zones))
--- a/src/eldercart/settings/operator.py
+++ b/src/eldercart/settings/operator.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from eldercart.settings.platform import BadSettings
+from eldercart.settings.platform import BadSettings, read_json
 
 SCHEMA = Path(__file__).with_name("operator.schema.json")
 
@@ -39,12 +39,7 @@
     schema = load_schema()
     merged = {name: entry["default"] for name, entry in schema["properties"].items()}
     if path is not None:
-        try:
-            values = orjson.loads(Path(path).read_bytes())
-        except OSError as err:
-            raise BadSettings(f"operator settings: {path}: {err.strerror}") from None
-        except orjson.JSONDecodeError as err:
-            raise BadSettings(f"operator settings: {path}: not JSON: {err}") from None
+        values = read_json(path, "operator settings")
     if values is not None:
         # Imported only when there is something to check: a fifth of a core starts faster without.
         import fastjsonschema
--- a/src/eldercart/settings/platform.py
+++ b/src/eldercart/settings/platform.py
@@ -165,11 +165,14 @@
     )
 
 
-def load_platform(path: str) -> NodeSettings:
+def read_json(path: str, what: str) -> Any:
     try:
-        root = orjson.loads(Path(path).read_bytes())
+        return orjson.loads(Path(path).read_bytes())
     except OSError as err:
-        raise BadSettings(f"settings: {path}: {err.strerror}") from None
+        raise BadSettings(f"{what}: {path}: {err.strerror}") from None
     except orjson.JSONDecodeError as err:
-        raise BadSettings(f"settings: {path}: not JSON: {err}") from None
-    return parse_platform(root)
+        raise BadSettings(f"{what}: {path}: not JSON: {err}") from None
+
+
+def load_platform(path: str) -> NodeSettings:
+    return parse_platform(read_json(path, "settings"))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from eldercart.core import placement as rules
 from eldercart.core.controller import JobStatus, Verdict
 from eldercart.units import JobId, Steady
 from eldercart.wire import workers
@@ -246,3 +247,24 @@
     w.run(8)
     elsewhere = {k for m in w.cloud.machines.values() if m is not victim for k in m.tasks}
     assert bool(held & elsewhere) is moves
+
+
+@pytest.mark.parametrize("changes", [{"together": True}, {"spread": True, "parcels": 9}])
+def test_zones_unknown_after_a_change_of_leader(changes: dict[str, Any]) -> None:
+    """A new leader knows the machines of a placement by name alone; until their reports tell the
+    zones, nothing of a job bound to zones may be added."""
+    w = World(16, capacity=6)
+    w.submit("wk-000001", run_s=40.0, cpus=4.0, **changes)
+    w.run(9)
+    w.elect()
+    c = w.controller
+    assert c is not None
+    job = c.jobs.get(JobId("wk-000001"))
+    assert job is not None
+    before = {p.key for p in job.placements()}
+    assert before
+    machines = list(c.fleet.machines.values())
+    assert rules.choose(job, 5, machines, c.fleet, w.settings.teams, Steady(w.now)) == []
+    w.run(3)
+    assert rules.UNKNOWN_ZONE not in rules.in_zones(job, c.fleet)
+    finish(w)
