A new leader asks the machines at once: /show for the session, empty /orders for its epoch

Cause: after a change of leader each worker first looks for it, a second a node. The answers count only while the leader has not answered the machine yet: one that crosses the response to a report would pass for proof that a launch was dropped. Test of that crossing.

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -150,6 +150,7 @@
         self._summary_due = now
         self._start_waits: list[float] = []  # seconds from submission, of tasks that began
         self._watch_due = now
+        self._greetings: list[MachineId] = []
         self._outage = False  # the last write was not carried out
         self._write_pause = Steady(-1e9)
         self._waiting: list[JobSpec] = []  # of jobs that found no room in the last pass
@@ -307,6 +308,21 @@
             self._plan_wanted = True
         return self._reconcile(m, r, now)
 
+    def take_greetings(self) -> list[tuple[MachineId, str]]:
+        """Machines that a new leader has not heard of under its epoch, to be asked at once.
+        Their reports would come, but a worker whose node has died looks for the leader first."""
+        ids, self._greetings = self._greetings, []
+        found = [m for i in ids if (m := self.fleet.get(i)) is not None and not m.confirmed]
+        return [(m.id, m.address) for m in found]
+
+    def on_greeting(self, r: workers.Report, now: Steady) -> None:
+        """A worker's answer to `/show` or to an empty `/orders`. It may cross the response to a
+        report, and then lack what that response launches: so it proves something only as long
+        as this leader has not answered the machine yet."""
+        m = self.fleet.get(r.machine)
+        if m is not None and not m.confirmed:
+            self.on_report(r, now)
+
     def _describe(self, m: Machine, r: workers.Report) -> None:
         """The report knows best what the machine is."""
         kind = self.types.get(r.type) or _unknown_type(r.type)
@@ -1169,6 +1185,10 @@
                 heard = Steady(now + self.tuning.takeover_grace_s)
                 m = self.fleet.add(item.id, kind, item.zone, item.spot, life, hired, heard)
                 log.info("machine listed machine=%s state=%s", m.id, item.state)
+            if item.address and not m.address:
+                m.address = item.address
+                if item.state == cloud.UP and not m.confirmed:
+                    self._greetings.append(m.id)
             if item.state == cloud.FAILED and m.life is not Life.LEAVING:
                 log.info("machine failed machine=%s", m.id)
                 self._doom(m, now)
--- a/src/eldercart/net/client.py
+++ b/src/eldercart/net/client.py
@@ -48,5 +48,43 @@
         d.addErrback(_report)
 
 
+class WorkerClient:
+    """Asks any worker, over a connection of its own each time; silence has no consequence."""
+
+    def __init__(self, most: int) -> None:
+        self._agent = Agent(reactor, connectTimeout=1.0)
+        self._most = most
+        self._open = 0
+
+    def request(
+        self, method: bytes, address: str, path: str, body: bytes | None,
+        answer: Callable[[bytes], None],
+    ) -> None:  # fmt: skip
+        """`answer(body)` for a 200 only."""
+        if self._open >= self._most:
+            return  # hung machines must not eat the sockets; they will report by themselves
+        self._open += 1
+        producer = None if body is None else FileBodyProducer(BytesIO(body))
+        headers = Headers(_HEADERS | {b"Connection": [b"close"]})
+        uri = f"http://{address}{path}".encode()
+        d: Deferred[Any] = self._agent.request(method, uri, headers, producer)
+        good: list[bool] = []
+
+        def got(response: Any) -> Deferred[bytes]:
+            good.append(response.code == 200)
+            return readBody(response)
+
+        d.addCallback(got)
+        d.addTimeout(2.0, reactor)
+
+        def over(result: Any) -> Any:
+            self._open -= 1
+            return result
+
+        d.addBoth(over)
+        d.addCallbacks(lambda data: answer(data) if good[0] else None, lambda _: None)
+        d.addErrback(_report)
+
+
 def _report(failure: Any) -> None:
     logging.getLogger("eldercart.net").error("handler failed: %s", failure.getTraceback())
--- a/src/eldercart/net/node.py
+++ b/src/eldercart/net/node.py
@@ -32,7 +32,7 @@
     TouchHold,
 )
 from eldercart.net.buckets import Bucket
-from eldercart.net.client import HttpClient, reactor
+from eldercart.net.client import HttpClient, WorkerClient, reactor
 from eldercart.net.meters import Meters
 from eldercart.net.server import JsonFactory, JsonRequest, listen
 from eldercart.net.store import FOR_ACCEPTING, FOR_ENDS, FOR_PLACING, FOR_POLLS, Store
@@ -82,6 +82,7 @@
         self._ready = False
         self._peers = {m.label: HttpClient(m.endpoint, 0.5, 8) for m in settings.members}
         self._cloud = HttpClient(settings.cloud, 2.0, 4)
+        self._workers = WorkerClient(max(4, settings.sockets // 20))
         rate = 0.9 * settings.cloud_rps
         self._cloud_tokens = Bucket(rate, max(1.0, rate), steady())
         self._peer_served = Steady(-1e9)  # when a peer last said that the store serves it
@@ -325,6 +326,8 @@
             pending = c.next_txn(now, ops)
             if pending is not None:
                 self._write(c, pending, now)
+        for _, address in c.take_greetings():
+            self._greet(c, address)
         if c.catalog_changed:
             self._store_types(c)
         while self._cloud_tokens.available(now) >= 1:
@@ -334,6 +337,35 @@
             self._cloud_tokens.take(now)
             self._call_cloud(c, call)
 
+    def _greet(self, c: Controller, address: str) -> None:
+        """`/show` tells the session, an empty `/orders` shows the worker this epoch; what both
+        answer is a report like any other, except that no command can go back on it."""
+        life = self._life
+
+        def heard(data: bytes) -> workers.Report | None:
+            if life != self._life:
+                return None
+            try:
+                report = workers.parse_report(load_object(data))
+            except Malformed as err:
+                log.error("report malformed address=%s: %s", address, err)
+                return None
+            if report.epoch <= c.epoch:
+                c.on_greeting(report, steady())
+            return report
+
+        def shown(data: bytes) -> None:
+            report = heard(data)
+            if report is not None and report.epoch < c.epoch:
+                body = workers.orders_body(c.epoch, report.order.session, [])
+                self._workers.request(b"POST", address, "/orders", body, ordered)
+
+        def ordered(data: bytes) -> None:
+            if heard(data) is not None:
+                self._pump()
+
+        self._workers.request(b"GET", address, "/show", None, shown)
+
     def _write(self, c: Controller, pending: PendingTxn, now: Steady) -> None:
         self.store.requests.force(now)
         self.store.writes.force(now, len(pending.txn.writes))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -268,3 +268,28 @@
     w.run(3)
     assert rules.UNKNOWN_ZONE not in rules.in_zones(job, c.fleet)
     finish(w)
+
+
+def test_answer_that_crosses_a_response_proves_nothing() -> None:
+    """`/show` is answered before the worker obeys a launch already under way to it."""
+    w = World(17)
+    w.submit("wk-000001", run_s=60.0)
+    w.run(9)
+    w.elect()
+    c = w.controller
+    assert c is not None
+    m = next(m for m in w.cloud.machines.values() if m.tasks)
+    kept, m.tasks = m.tasks, {}
+    m.epoch = c.epoch
+    now = Steady(w.now)
+    launches = c.on_report(workers.parse_report(m.report()), now)
+    assert launches and all(isinstance(x, workers.Launch) for x in launches)
+    crossing = workers.parse_report(m.report())
+    c.cancel(JobId("wk-000001"), now)
+    machine = c.fleet.get(crossing.machine)
+    assert machine is not None
+    placed = set(machine.placed)
+    c.on_greeting(crossing, now)
+    assert set(machine.placed) == placed, "taken for proof that the launch was dropped"
+    m.tasks = kept
+    w.run(40)
