--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -274,7 +274,7 @@
     """`/show` is answered before the worker obeys a launch already under way to it."""
     w = World(17)
     w.submit("wk-000001", run_s=60.0)
-    w.run(9)
+    w.run(16)
     w.elect()
     c = w.controller
     assert c is not None
