Say once what was said several times: open jobs, run time so far, sending a request

Job.open, Placement.ran and one sender for both HTTP clients replace copies; fields and methods that nothing read are gone (Machine.booked, Job.marked, Job.cancelled_at, JobBook.put_back, Predictor.booked_images, the list that Fleet.remove returned).

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -183,8 +183,6 @@
                 continue
             job.ended = end_of(item.value)
             job.cancelled = job.ended == users.CANCELLED
-            job.cancelled_at = now
-            job.marked = True
             self._cleaning[job.id] = job
         self._orphans = orphans
         for job in self.jobs.jobs.values():
@@ -258,7 +256,6 @@
             return job.ended
         if not job.cancelled and not job.complete:
             job.cancelled = True
-            job.cancelled_at = now
             self._ending[job_id] = job
             self._stop_all(job, now)
             log.info("cancel asked job=%s", job_id)
@@ -377,7 +374,7 @@
         for p in list(m.placed.values()):
             if p in seen or p.phase is Phase.ENDED or p.phase is Phase.PLANNED:
                 continue
-            if p.stopping or p.job.cancelled or p.job.ended is not None:
+            if p.stopping or not p.job.open:
                 self._void(p, now)
             elif p.reported:
                 # It was there and a newer report lacks it: its session ended.
@@ -429,12 +426,12 @@
 
     def _exited(self, m: Machine, p: Placement, why: str | None, now: Steady) -> None:
         job = p.job
-        if job.cancelled or job.ended is not None:
+        if not job.open:
             # Its end is decided or even durable (a new leader may load such a job before its
             # records are gone); to end it once more would be refused for ever.
             self._void(p, now)
             return
-        ran = now - p.since if p.phase is Phase.RUNNING and p.since_known else 0.0
+        ran = p.ran(now) if p.since_known else 0.0
         if why == workers.WHY_DONE:
             self.jobs.finish(p, now)
             self.fleet.release(m, p, now)
@@ -482,8 +479,7 @@
             self.fleet.forget(m, p)
         if p.phase is Phase.ENDED:
             return  # done; only the record is outstanding
-        if p.phase is Phase.RUNNING:
-            self.work_lost += (now - p.since) * p.job.spec.cpus
+        self.work_lost += p.ran(now) * p.job.spec.cpus
         self.jobs.drop(p, now, again=True)
         self._dirty[p.job.id] = p.job
         self._plan_wanted = True
@@ -516,7 +512,7 @@
     def _summary(self, now: Steady) -> None:
         waiting: dict[str, float] = {}
         for job in self.jobs.jobs.values():
-            if job.ended is None and not job.cancelled:
+            if job.open:
                 spec = job.spec
                 waiting[spec.klass] = waiting.get(spec.klass, 0.0) + job.pending * spec.cpus
         log.info(
@@ -598,9 +594,8 @@
                 continue
             if not p.since_known:
                 continue
-            ran = now - p.since if p.phase is Phase.RUNNING else 0.0
             saves = p.job.spec.checkpoint_s > 0.0 and p.job.spec.save_s < left
-            if saves or self.predictor.run_s(p.job) - ran > DRAIN_FACTOR * left:
+            if saves or self.predictor.run_s(p.job) - p.ran(now) > DRAIN_FACTOR * left:
                 self._stop(p, now)
 
     def _doom(self, m: Machine, now: Steady) -> None:
@@ -622,7 +617,7 @@
             choosy = [
                 j
                 for j in self.jobs.jobs.values()
-                if (j.pending or j.queued) and not j.cancelled and j.ended is None
+                if (j.pending or j.queued) and j.open
                 if j.spec.zone is not None
                 or not all(rules.fits_type(j.spec, kind) for kind in self.types.values())
             ]
@@ -639,14 +634,13 @@
         used = sum(self.fleet.team_cpus.values()) + self.predictor.booked()[1]
         load = used / fleet if fleet else 0.0
         for job in self.jobs.jobs.values():
-            if job.ended is not None or job.cancelled or job.pending or job.queued:
+            if not job.open or job.pending or job.queued:
                 continue
             run = self.predictor.run_s(job)
             left = 0.0
             for p in job.placements():
                 if p.phase is not Phase.ENDED:
-                    ran = now - p.since if p.phase is Phase.RUNNING else 0.0
-                    left = max(left, run - ran)
+                    left = max(left, run - p.ran(now))
             self.predictor.prepare(job, left, boot, load, now)
 
     # ------------------------------------------------------------------ placing
@@ -656,7 +650,7 @@
         self._planned = now
         waiting = []
         for j in self.jobs.jobs.values():
-            if (j.pending or j.queued) and not j.cancelled and j.ended is None:
+            if (j.pending or j.queued) and j.open:
                 if j.hold_until > now:
                     self._plan_wanted = True
                     continue
@@ -992,7 +986,6 @@
             job = self.jobs.get(JobId(key[len(END) :]))
             if job is not None and item is not None and job.ended is None:
                 self._ended(job, end_of(item.value), now)
-                job.marked = True
                 self._cleaning[job.id] = job
             return
         job_id, _, number = key[len(PLACE) :].rpartition("/")
@@ -1033,7 +1026,6 @@
         self._ending.pop(job.id, None)
         if how == users.CANCELLED and not job.cancelled:
             job.cancelled = True
-            job.cancelled_at = now
         self._stop_all(job, now)
         self.finished.append((job.id, how))
         self._plan_wanted = True
--- a/src/eldercart/core/fleet.py
+++ b/src/eldercart/core/fleet.py
@@ -46,7 +46,6 @@
     paces: list[tuple[str, float]] = field(default_factory=list)  # run time / the job's median
     good_since_fault: int = 0
     refuse_until: Steady = Steady(-1e9)
-    booked: float = 0.0  # CPUs softly held; any waiting task may use them
 
     @property
     def usable(self) -> bool:
@@ -120,14 +119,13 @@
         if m.placed.get(p.key) is p:
             del m.placed[p.key]
 
-    def remove(self, m: Machine) -> list[Placement]:
+    def remove(self, m: Machine) -> None:
         """The cloud said 200 to its deletion: whatever was there is gone."""
         m.life = Life.GONE
         self.machines.pop(m.id, None)
         self._gone[m.id] = None
         while len(self._gone) > 5000:
             del self._gone[next(iter(self._gone))]
-        return [*m.placed.values(), *m.queue.values()]
 
     def note_image(self, m: Machine, image: str, size_gb: float) -> None:
         m.images.pop(image, None)
--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -60,6 +60,10 @@
     since_known: bool = True  # False: it ran already when this leader first heard of it
     reported: bool = False
 
+    def ran(self, now: Steady) -> float:
+        """Seconds of running, as seen here."""
+        return now - self.since if self.phase is Phase.RUNNING else 0.0
+
 
 @dataclass(slots=True, eq=False)
 class Chunk:
@@ -90,9 +94,7 @@
         self.rank = 0  # its place in the last pass's order
         self.queued = 0  # tasks written ahead of free room
         self.cancelled = False  # asked for; durable once `ended` is set
-        self.cancelled_at = Steady(0)
         self.ended: str | None = None
-        self.marked = False  # the clean-up marker is durable
         self.errors = 0
         self.hold_until = Steady(-1e9)
         self.bad_machines: set[MachineId] = set()
@@ -102,6 +104,11 @@
     def pending(self) -> int:
         return self.spec.tasks - self.fresh + len(self.again)
 
+    @property
+    def open(self) -> bool:
+        """Neither ended nor asked to be cancelled: its tasks may start."""
+        return self.ended is None and not self.cancelled
+
     @property
     def complete(self) -> bool:
         return self.done_count == self.spec.tasks
@@ -207,9 +214,6 @@
         job.fresh += fresh
         return taken
 
-    def put_back(self, job: Job, index: int) -> None:
-        job.again.append(index)
-
     def place(self, job: Job, index: int, machine: MachineId, now: Steady) -> Placement:
         chunk = job.chunk_of(index)
         chunk.attempt = Attempt(chunk.attempt + 1)
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -347,7 +347,7 @@
 
 
 def lost_work(p: Placement, now: Steady) -> float:
-    ran = now - p.since if p.phase is Phase.RUNNING else 0.0
+    ran = p.ran(now)
     if p.job.spec.checkpoint_s > 0:
         ran = min(ran, p.job.spec.checkpoint_s)
     # Jobs that will be late anyway lose less by it; the constant stands for starting again.
--- a/src/eldercart/core/prediction.py
+++ b/src/eldercart/core/prediction.py
@@ -223,6 +223,3 @@
         """CPUs booked: for jobs that need ordinary machines, and in all."""
         ordinary = sum(b.cpus for b in self.bookings if not b.spot)
         return ordinary, sum(b.cpus for b in self.bookings)
-
-    def booked_images(self) -> set[str]:
-        return {b.image for b in self.bookings}
--- a/src/eldercart/net/client.py
+++ b/src/eldercart/net/client.py
@@ -31,21 +31,7 @@
     def request(
         self, method: bytes, path: str, body: bytes | None, timeout: float, answer: Answer
     ) -> None:
-        producer = None if body is None else FileBodyProducer(BytesIO(body))
-        headers = Headers(_HEADERS) if body is not None else Headers()
-        d: Deferred[Any] = self._agent.request(
-            method, self._base + path.encode(), headers, producer
-        )
-        status: list[int] = []
-
-        def got(response: Any) -> Deferred[bytes]:
-            status.append(response.code)
-            return readBody(response)
-
-        d.addCallback(got)
-        d.addTimeout(timeout, reactor)
-        d.addCallbacks(lambda data: answer(status[0], data), lambda _: answer(None, b""))
-        d.addErrback(_report)
+        _send(self._agent, method, self._base + path.encode(), body, timeout, answer)
 
 
 class WorkerClient:
@@ -64,26 +50,33 @@
         if self._open >= self._most:
             return  # hung machines must not eat the sockets; they will report by themselves
         self._open += 1
-        producer = None if body is None else FileBodyProducer(BytesIO(body))
-        headers = Headers(_HEADERS | {b"Connection": [b"close"]})
-        uri = f"http://{address}{path}".encode()
-        d: Deferred[Any] = self._agent.request(method, uri, headers, producer)
-        good: list[bool] = []
 
-        def got(response: Any) -> Deferred[bytes]:
-            good.append(response.code == 200)
-            return readBody(response)
-
-        d.addCallback(got)
-        d.addTimeout(2.0, reactor)
-
-        def over(result: Any) -> Any:
+        def over(status: int | None, data: bytes) -> None:
             self._open -= 1
-            return result
+            if status == 200:
+                answer(data)
 
-        d.addBoth(over)
-        d.addCallbacks(lambda data: answer(data) if good[0] else None, lambda _: None)
-        d.addErrback(_report)
+        uri = f"http://{address}{path}".encode()
+        _send(self._agent, method, uri, body, 2.0, over, {b"Connection": [b"close"]})
+
+
+def _send(
+    agent: Agent, method: bytes, uri: bytes, body: bytes | None, timeout: float, answer: Answer,
+    extra: dict[bytes, list[bytes]] | None = None,
+) -> None:  # fmt: skip
+    producer = None if body is None else FileBodyProducer(BytesIO(body))
+    headers = Headers((_HEADERS if body is not None else {}) | (extra or {}))
+    d: Deferred[Any] = agent.request(method, uri, headers, producer)
+    status: list[int] = []
+
+    def got(response: Any) -> Deferred[bytes]:
+        status.append(response.code)
+        return readBody(response)
+
+    d.addCallback(got)
+    d.addTimeout(timeout, reactor)
+    d.addCallbacks(lambda data: answer(status[0], data), lambda _: answer(None, b""))
+    d.addErrback(_report)
 
 
 def _report(failure: Any) -> None:
