Lend tokens for submissions; close the connection of a refused one

Cause: users keep their connections. Ruled out: loop lag (1 to 3 ms), refusals by the store (none). A refusal now closes the connection, so that the next try finds another node, and a node that ran short tells the leader, who lends what it can spare.

--- a/src/eldercart/net/buckets.py
+++ b/src/eldercart/net/buckets.py
@@ -39,6 +39,11 @@
         self._refill(now)
         self._tokens -= number
 
+    def give(self, now: Steady, number: int) -> None:
+        """Tokens that another node has taken from its own share."""
+        self._refill(now)
+        self._tokens += number
+
     def drain(self, now: Steady) -> None:
         """The service itself said that the limit is reached."""
         self._refill(now)
--- a/src/eldercart/net/front.py
+++ b/src/eldercart/net/front.py
@@ -1,5 +1,6 @@
 """What users and the load balancer ask of this node."""
 
+import logging
 import time
 from collections import OrderedDict
 from collections.abc import Callable
@@ -18,6 +19,8 @@
 if TYPE_CHECKING:
     from eldercart.net.node import Node
 
+log = logging.getLogger("eldercart.node")
+
 RETRY_S = 2  # a change of leader or a short outage is over by then, often
 
 
@@ -28,6 +31,7 @@
         self.node = node
         self._finals: OrderedDict[JobId, str] = OrderedDict()
         self._busy = 0
+        self._short = 0  # submissions refused for want of tokens since a peer was told
 
     def route(self, request: JsonRequest) -> None:
         path, method = request.path, request.method
@@ -75,6 +79,10 @@
         request.notifyFinish().addBoth(over)
         serve(request)
 
+    def take_short(self) -> int:
+        out, self._short = self._short, 0
+        return out
+
     # -- final states
 
     def final_of(self, job: JobId) -> str | None:
@@ -110,6 +118,7 @@
             if spec.team not in node.settings.teams:
                 refusal = (422, "unknown team")
             elif not node.types:
+                log.info("submission refused: machine types unknown")
                 request.reply(503, users.error_body("machine types unknown"), RETRY_S)
                 return
             else:
@@ -138,7 +147,10 @@
         if store.writes.available(now, FOR_ACCEPTING) < 1 or not store.requests.take(
             now, 1, FOR_ACCEPTING
         ):
-            request.reply(503, users.error_body("too many submissions"), RETRY_S)
+            self._short += 1
+            # Its next try may well find another node with tokens: users keep their connections,
+            # and a crowd that came while one node alone was up would ask that one for ever.
+            request.reply(503, users.error_body("too many submissions"), RETRY_S, close=True)
             return
         store.writes.force(now)
         job = spec.id
@@ -165,6 +177,7 @@
                     failed=lambda: request.reply(503, users.error_body("cannot tell"), RETRY_S),
                 )
             else:
+                log.info("submission not stored status=%s", status)
                 request.reply(503, users.error_body("cannot store it now"), RETRY_S)
 
         store.txn(txn, done)
--- a/src/eldercart/net/relaying.py
+++ b/src/eldercart/net/relaying.py
@@ -116,7 +116,8 @@
             peers.greet(
                 peers.Greet(
                     node.settings.label, self._number, node.election.epoch,
-                    node.store.failing_since is None, self.relay.machines, heard,
+                    node.store.failing_since is None, self.relay.machines,
+                    node.front.take_short() if leads else 0, heard,
                 )
             )
         )  # fmt: skip
@@ -306,6 +307,8 @@
         if g.store_ok:
             self.peer_served = now
         self.node.saw_epoch(g.epoch, "a peer knows a higher epoch")
+        if g.lent:
+            self.node.store.lent(g.lent, now)
         if g.leads and asked is not None:
             self.relay.granted(g.epoch, link.label, asked, now, g.most, g.spare)
             self.node.election.heard_leader(link.label, g.epoch)
@@ -357,7 +360,7 @@
             peers.greeted(
                 peers.Greeted(
                     g.number, node.election.epoch, acts, node.store.failing_since is None,
-                    share.most, share.spare,
+                    share.most, share.spare, node.store.lend(g.short, now) if acts else 0,
                 )
             )
         )  # fmt: skip
--- a/src/eldercart/net/server.py
+++ b/src/eldercart/net/server.py
@@ -53,7 +53,9 @@
         value: bytes = self.content.getvalue()
         return value
 
-    def reply(self, status: int, body: bytes, retry_after: int | None = None) -> None:
+    def reply(
+        self, status: int, body: bytes, retry_after: int | None = None, close: bool = False
+    ) -> None:
         if self.gone or self.finished:
             return
         self.setResponseCode(status)
@@ -62,6 +64,9 @@
         headers.setRawHeaders(b"content-length", [b"%d" % len(body)])
         if retry_after is not None:
             headers.setRawHeaders(b"retry-after", [b"%d" % retry_after])
+        if close:
+            headers.setRawHeaders(b"connection", [b"close"])
+            self.channel.persistent = False
         self.write(body)
         self.finish()
 
--- a/src/eldercart/net/store.py
+++ b/src/eldercart/net/store.py
@@ -40,6 +40,23 @@
             share = 1.0 if nodes == 1 else (most if leader else (1.0 - most) / (nodes - 1))
             bucket.set_rate(0.92 * rate * share, max(3.0, 0.8 * rate * share), now)
 
+    def lend(self, number: int, now: Steady) -> int:
+        """Takes up to so many of this node's tokens for another one, if it can well spare them."""
+        number = min(
+            number,
+            self.requests.available(now, FOR_PLACING),
+            self.writes.available(now, FOR_PLACING),
+        )
+        if number <= 0:
+            return 0
+        self.requests.force(now, number)
+        self.writes.force(now, number)
+        return number
+
+    def lent(self, number: int, now: Steady) -> None:
+        self.requests.give(now, number)
+        self.writes.give(now, number)
+
     def _call(
         self, method: bytes, path: str, body: bytes | None, timeout: float, answer: Answer
     ) -> None:
--- a/src/eldercart/wire/peers.py
+++ b/src/eldercart/wire/peers.py
@@ -32,6 +32,7 @@
     epoch: Epoch
     store_ok: bool
     machines: int  # workers that report to the sender
+    short: int  # submissions it refused since for want of tokens
     heard: tuple[tuple[MachineId, ReportOrder], ...]  # answered by the sender itself
 
 
@@ -43,6 +44,7 @@
     store_ok: bool
     most: int  # workers the asker should have at most
     spare: NodeId | None  # where to send those beyond it
+    lent: int  # of the leader's tokens for the state service, for submissions
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +78,7 @@
     heard = [[m, o.session, o.sequence] for m, o in g.heard]
     return orjson.dumps(
         {"k": GREET, "from": g.sender, "n": g.number, "epoch": g.epoch, "store": g.store_ok,
-         "machines": g.machines, "heard": heard}
+         "machines": g.machines, "short": g.short, "heard": heard}
     )  # fmt: skip
 
 
@@ -90,14 +92,14 @@
         raise Malformed("heard") from None
     return Greet(
         NodeId(text(frame, "from")), count(frame, "n"), Epoch(count(frame, "epoch")),
-        frame.get("store") is True, count(frame, "machines"), orders,
+        frame.get("store") is True, count(frame, "machines"), count(frame, "short"), orders,
     )  # fmt: skip
 
 
 def greeted(g: Greeted) -> bytes:
     return orjson.dumps(
         {"k": GREETED, "n": g.number, "epoch": g.epoch, "leads": g.leads, "store": g.store_ok,
-         "most": g.most, "spare": g.spare}
+         "most": g.most, "spare": g.spare, "lent": g.lent}
     )  # fmt: skip
 
 
@@ -106,7 +108,7 @@
     return Greeted(
         count(frame, "n"), Epoch(count(frame, "epoch")), frame.get("leads") is True,
         frame.get("store") is True, count(frame, "most"),
-        NodeId(spare) if isinstance(spare, str) else None,
+        NodeId(spare) if isinstance(spare, str) else None, count(frame, "lent"),
     )  # fmt: skip
 
 
