--- a/src/eldercart/core/cloudwork.py
+++ b/src/eldercart/core/cloudwork.py
@@ -194,6 +194,9 @@
         placed = [*m.placed.values(), *m.queue.values()]
         log.info("machine gone machine=%s tasks=%d", machine, len(placed))
         for p in placed:
+            job = p.job
+            if m.spot and p.ran(now) > 0 and f.predictor.run_s(job) >= f.tuning.shy_s:
+                job.shy = job.fresh >= job.spec.tasks
             f.void(p, now)
         f.fleet.remove(m)
 
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -111,12 +111,13 @@
     return counts
 
 
-def preference(spec: JobSpec, m: Machine) -> tuple[bool, float, float]:
+def preference(spec: JobSpec, m: Machine, shy: bool = False) -> tuple[bool, float, float]:
     """Lower is better. Ordinary machines are left for jobs that may use nothing else; then a
     cached image (as reports and starts have shown); then the fullest machine, so that whole
-    machines come free."""
+    machines come free. What a spot machine has taken with it is long, or it would have ended:
+    it would be lost again, so it goes the other way round."""
     fetch = 0.0 if spec.image in m.images else spec.image_gb / max(m.type.fetch_gb_per_s, 1e-3)
-    return (spec.spot and not m.spot, fetch, m.free_cpus)
+    return (m.spot if shy else spec.spot and not m.spot, fetch, m.free_cpus)
 
 
 def choose(
@@ -132,7 +133,7 @@
     if wanted <= 0:
         return []
     candidates = [
-        (preference(spec, m), m.id, m, n)
+        (preference(spec, m, job.shy), m.id, m, n)
         for m in machines
         if m.refuse_until <= now
         and allowed(spec, m)
--- a/src/eldercart/core/planner.py
+++ b/src/eldercart/core/planner.py
@@ -152,6 +152,7 @@
             shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
             if self.open and shape not in self._full:
                 kept = spec.spot and keeps is not None and spec.priority <= keeps and cap is None
+                kept = kept and not job.shy
                 self._place(job, shape, kept, cap)
             if cap is None and (job.pending or job.queued):
                 self.planner.waiting.append(spec)
--- a/src/eldercart/core/rental.py
+++ b/src/eldercart/core/rental.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from statistics import fmean
 
 from eldercart.core.fleet import Life, Machine
 from eldercart.core.jobs import Job
@@ -13,26 +14,34 @@
 from eldercart.units import Steady
 from eldercart.wire.cloud import MAX_RENT, MachineType
 
+SAMPLE_S = 1.0  # between two figures of the window
 PAUSE_GAPS = 12.0  # usual gaps without a submission after which the stream counts as stopped
 
 
 @dataclass(slots=True)
 class Demand:
-    """CPUs asked for, and the peak of a window: kept in full between bursts that follow each
-    other, and given up in one go once they no longer do."""
+    """CPUs asked for, and what a window of the past makes likely to be asked for again: the mean
+    and some of the spread, so that a steady stream of many jobs needs little beyond what it uses
+    and a few large ones that follow each other find the fleet standing."""
 
-    _peaks: deque[tuple[Steady, float]] = field(default_factory=deque)  # falling from the left
+    spread: float  # standard deviations kept ready above the mean
+    _samples: deque[tuple[Steady, float]] = field(default_factory=deque)
+    level: float = 0.0
 
-    def update(self, cpus: float, now: Steady, memory_s: float) -> None:
-        while self._peaks and self._peaks[-1][1] <= cpus:
-            self._peaks.pop()
-        self._peaks.append((now, cpus))
-        while self._peaks[0][0] < now - memory_s:
-            self._peaks.popleft()
-
-    @property
-    def peak(self) -> float:
-        return self._peaks[0][1] if self._peaks else 0.0
+    def update(self, cpus: float, at: Steady, memory_s: float) -> None:
+        if self._samples and at - self._samples[-1][0] < SAMPLE_S:
+            self._samples[-1] = (self._samples[-1][0], max(cpus, self._samples[-1][1]))
+        else:
+            self._samples.append((at, cpus))
+        while self._samples and self._samples[0][0] < at - memory_s:
+            self._samples.popleft()
+        values = [cpus for _, cpus in self._samples]
+        if not values:
+            self.level = cpus
+            return
+        mean = fmean(values)
+        deviation = max(0.0, fmean([v * v for v in values]) - mean * mean) ** 0.5
+        self.level = max(cpus, mean + self.spread * deviation)
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,8 +65,8 @@
 
     tuning: Tuning
     teams: dict[str, Team]
-    ordinary: Demand = field(default_factory=Demand)
-    any: Demand = field(default_factory=Demand)
+    ordinary: Demand = field(init=False)
+    any: Demand = field(init=False)
     refused: dict[Offer, Steady] = field(default_factory=dict)
     hires: dict[str, Hire] = field(default_factory=dict)
     _counter: int = 0
@@ -65,6 +74,10 @@
     _gap: float = 0.0  # mean seconds between submissions, recent ones weighing more
     _quiet: bool = False
 
+    def __post_init__(self) -> None:
+        self.ordinary = Demand(self.tuning.demand_spread)
+        self.any = Demand(self.tuning.demand_spread)
+
     def arrived(self, now: Steady) -> None:
         if self._last_arrival is not None:
             gap = now - self._last_arrival
@@ -85,6 +98,8 @@
             by_team[spec.team] = by_team.get(spec.team, 0.0) + cpus
             if not spec.spot:
                 ordinary += cpus
+            elif job.shy:
+                ordinary += spec.cpus * (job.pending + job.queued)
         # Peaks are remembered because more work like it will come. When submissions have stopped,
         # by their own usual pace, it will not: the fleet shrinks to what is left to do.
         pause = max(self.tuning.pause_s, PAUSE_GAPS * self._gap)
@@ -95,7 +110,7 @@
 
     def targets(self) -> tuple[float, float]:
         share = 1.0 + self.tuning.headroom_share
-        return self.ordinary.peak * share, self.any.peak * share
+        return self.ordinary.level * share, self.any.level * share
 
     def refuse(self, offer: Offer, now: Steady) -> None:
         self.refused[offer] = Steady(now + self.tuning.refusal_s)
@@ -194,7 +209,7 @@
                 ):
                     continue
                 # A machine that boots late is worth less to those who wait.
-                cost = price / kind.cpus * (1 + kind.boot_s / 60)
+                cost = price / kind.cpus * (1 + kind.boot_s / self.tuning.boot_weight_s)
                 offers.append((cost, zones.get((zone, spot), 0), offer, kind))
         offers.sort(key=lambda o: (o[0], o[1], o[2].zone))
         got = 0.0
