Judge jobs for ordinary machines by those alone; plan in larger batches while writes lag

Ruled out: loop lag (under 10 ms), leader's processor (5%). Second: each freed place was written by itself; with records waiting to be written, a pass now waits up to a second, so one record takes many placements.

--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -207,34 +207,37 @@
     fleet: Fleet,
     teams: dict[str, Team],
     promises: Promises,
-    capacity: Callable[[int], float],
+    capacity: Callable[[int, bool], float],
     run_s: Callable[[Job], float],
     longest_s: Callable[[Job], float],
     now: Steady,
 ) -> list[Job]:
-    """Priority, then the team's guarantee, then the next promise, then age.
+    """Priority, then the team's guarantee, then those with fewer machines to choose from, then the
+    next promise, then age.
 
     When more is asked than can be done, order of promises alone would make everything late
     together. So each level is gone through by promise, and when one cannot be kept any more the
     job with the most work so far is set aside behind those that can be (the rule of Moore and
-    Hodgson, which leaves the fewest late)."""
-    levels: dict[tuple[int, bool], list[Job]] = {}
+    Hodgson, which leaves the fewest late). What can be done is judged by the machines that a job
+    may use: against the whole fleet, a crowd of jobs that need ordinary machines would seem to
+    be in time until all of them are late. `capacity(priority, spot)` tells the CPUs."""
+    levels: dict[tuple[int, bool, bool], list[Job]] = {}
     for job in jobs:
         spec = job.spec
         team = teams.get(spec.team)
         guaranteed = team is not None and (
             fleet.team_cpus.get(spec.team, 0.0) + spec.cpus <= team.cpus + EPS
         )
-        levels.setdefault((-spec.priority, not guaranteed), []).append(job)
+        levels.setdefault((-spec.priority, not guaranteed, spec.spot), []).append(job)
     ordered: list[Job] = []
-    begun = 0.0  # seconds of the fleet asked for by the levels above
+    begun = {False: 0.0, True: 0.0}  # CPU seconds asked for by the levels above, per kind
     for level in sorted(levels):
-        cpus = max(1.0, capacity(-level[0]))
+        spot = level[2]
+        cpus = max(1.0, capacity(-level[0], spot))
         dated: list[tuple[float, float, str, float, Job]] = []
         late: list[tuple[float, float, str, Job]] = []
         for job in levels[level]:
-            run = run_s(job)
-            seconds = (job.pending + job.queued) * job.spec.cpus * run / cpus
+            seconds = (job.pending + job.queued) * job.spec.cpus * run_s(job) / cpus
             dues = promises.start_dues(job, longest_s(job))
             due = next((d for d in dues if d > now), None)
             if due is None:
@@ -244,7 +247,8 @@
         dated.sort(key=lambda entry: entry[:3])
         kept: list[tuple[float, float, str, Job]] = []  # a heap, the most work first
         set_aside: set[str] = set()
-        total = begun
+        above = begun[False] + (begun[True] if spot else 0.0)
+        total = above / cpus
         for when, began, name, work, candidate in dated:
             heapq.heappush(kept, (-work, began, name, candidate))
             total += work
@@ -260,7 +264,8 @@
             dated_entry[4].late = False
         for late_entry in late:
             late_entry[3].late = True
-        begun = total + sum(late_entry[0] for late_entry in late)
+        work_here = total * cpus - above + sum(late_entry[0] for late_entry in late) * cpus
+        begun[spot] += work_here
     return ordered
 
 
--- a/src/eldercart/core/planner.py
+++ b/src/eldercart/core/planner.py
@@ -18,6 +18,7 @@
 log = logging.getLogger("eldercart.controller")
 
 PACE = 5.0  # a pass may take one part in so many of the time
+UNWRITTEN_S = 0.2  # of the changes a second, that placements may wait to be written
 OFFERS = 12  # machines looked at per task that others are stopped for
 
 
@@ -34,9 +35,14 @@
     def cost(self, seconds: float) -> None:
         self._cost = max(seconds, 0.7 * self._cost)
 
-    def due(self, now: Steady) -> bool:
+    def due(self, now: Steady, unwritten: int) -> bool:
+        """`unwritten`: records that hold placements and wait to be written. As long as there are
+        many, to place more would only spread each freed place over more records; what was
+        written ahead bridges the time."""
         since = now - self._planned
         least = max(self.f.tuning.plan_interval_s, PACE * self._cost)
+        if unwritten > UNWRITTEN_S * self.f.settings.state_write_rps:
+            least = max(least, 1.0)
         return since >= max(1.0, least) or (self.f.plan_wanted and since >= least)
 
     def plan(self, now: Steady) -> None:
@@ -58,10 +64,13 @@
             return
         f.fleet.clear_holds()
         self._revoke_queued(now)
+        ordinary = sum(m.type.cpus for m in machines if not m.spot)
         usable = sum(m.type.cpus for m in machines)
         used = f.fleet.used
 
-        def capacity(priority: int) -> float:
+        def capacity(priority: int, spot: bool) -> float:
+            if not spot:
+                return ordinary
             return usable - sum(cpus for above, cpus in used.items() if above > priority)
 
         ordered = rules.order_jobs(
--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -71,6 +71,12 @@
         self._aside: dict[JobId, Steady] = {}
         self._unsure: set[str] = set()  # keys whose version only a reread can tell
 
+    def unwritten(self) -> int:
+        """Records with placements that wait to be written."""
+        return sum(
+            1 for job in self.f.dirty.values() for c in job.chunks.values() if c.dirty and c.urgent
+        )
+
     # -- building
 
     def next_txn(self, now: Steady, ops: int) -> PendingTxn | None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -232,7 +232,7 @@
     fleet.team_cpus["t2"] = 40.0
     ordered = rules.order_jobs(
         list(book.jobs.values()), fleet, teams, NONE,
-        lambda _: 100.0, lambda j: 6.0, lambda j: 6.0, Steady(1.0),
+        lambda p, s: 100.0, lambda j: 6.0, lambda j: 6.0, Steady(1.0),
     )  # fmt: skip
     assert [j.id[-1] for j in ordered] == ["3", "2", "1", "0"]
 
@@ -245,12 +245,33 @@
         book.add(users.parse_submission(body), 100, Steady(0.0))
     ordered = rules.order_jobs(
         list(book.jobs.values()), Fleet(), parse_platform(PLATFORM).teams, NONE,
-        lambda _: 16.0, lambda j: 6.0, lambda j: 6.0, Steady(1.0),
+        lambda p, s: 16.0, lambda j: 6.0, lambda j: 6.0, Steady(1.0),
     )  # fmt: skip
     assert [j.id[-1] for j in ordered] == ["1", "2", "3", "0"]
     assert [j.late for j in ordered] == [False, False, False, True]
 
 
+def test_jobs_for_ordinary_machines_are_judged_by_those() -> None:
+    """Seen on a rough day: a burst of urgent arrays that may use nothing else found a large fleet
+    of spot machines, so none was set aside, and all were late together."""
+    book = JobBook(100)
+    rows: list[dict[str, Any]] = [
+        {"parcels": 400, "dueS": 40.0},
+        {"parcels": 10, "dueS": 41.0},
+        {"parcels": 10, "dueS": 42.0},
+        {"parcels": 400, "dueS": 43.0, "loaners": True},
+    ]
+    for i, changes in enumerate(rows):
+        body = submission(f"wk-{i:06d}", **({"loaners": False} | changes))
+        book.add(users.parse_submission(body), 100, Steady(0.0))
+    ordered = rules.order_jobs(
+        list(book.jobs.values()), Fleet(), parse_platform(PLATFORM).teams, NONE,
+        lambda p, spot: 1000.0 if spot else 16.0, lambda j: 6.0, lambda j: 6.0, Steady(1.0),
+    )  # fmt: skip
+    assert [j.id[-1] for j in ordered] == ["1", "2", "0", "3"]
+    assert [j.late for j in ordered] == [False, False, True, False]
+
+
 # -- health
 
 
