--- a/src/eldercart/core/cloudwork.py
+++ b/src/eldercart/core/cloudwork.py
@@ -8,7 +8,7 @@
 from eldercart.core.floor import Floor
 from eldercart.core.jobs import Phase
 from eldercart.core.rental import Hire
-from eldercart.units import MachineId, Steady
+from eldercart.units import JobId, MachineId, Steady
 from eldercart.wire import Malformed, cloud
 from eldercart.wire.checks import load_answer
 from eldercart.wire.cloud import MachineType
@@ -73,7 +73,10 @@
         if not f.types:
             return
         self._prepare(now)
-        f.rental.measure(f.jobs.jobs.values(), f.predictor.booked(), now)
+        if f.outage:
+            # Nothing can be accepted: that no submission comes tells nothing.
+            f.rental.pause_excused(now)
+        f.rental.measure(f.jobs.jobs.values(), f.predictor.booked(self._held), now)
         machines = f.fleet.machines.values()
         # After a take-over the fleet is not known yet: renting now would double it.
         if now - f.began > 2 * f.settings.list_lag_s or self._list_seen:
@@ -89,13 +92,19 @@
             log.info("machine returned machine=%s idle=%.0f", m.id, now - m.idle_since)
             f.doom(m, now)
 
+    def _held(self, job_id: JobId) -> float:
+        job = self.f.jobs.get(job_id)
+        if job is None or not job.open:
+            return 0.0
+        return job.spec.cpus * (job.spec.tasks - job.done_count)
+
     def _prepare(self, now: Steady) -> None:
         """Soft bookings for the successors of jobs that end within about one boot."""
         f = self.f
         f.predictor.expire(now)
         boot = min(kind.boot_s for kind in f.types.values())
         fleet = sum(m.type.cpus for m in f.fleet.machines.values() if m.life is Life.UP)
-        used = sum(f.fleet.team_cpus.values()) + f.predictor.booked()[1]
+        used = sum(f.fleet.team_cpus.values()) + f.predictor.booked(self._held)[1]
         load = used / fleet if fleet else 0.0
         for job in f.jobs.jobs.values():
             if not job.open or job.pending or job.queued:
--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -253,7 +253,7 @@
     def plan_due(self, now: Steady) -> bool:
         # While nothing can be written, nothing new can be placed, and what was written ahead is
         # all that can start: to plan anew would only take it back.
-        return not self.records.outage and self.planner.due(now, self.records.unwritten())
+        return not self.floor.outage and self.planner.due(now, self.records.unwritten())
 
     def plan(self, now: Steady) -> None:
         self.planner.plan(now)
--- a/src/eldercart/core/floor.py
+++ b/src/eldercart/core/floor.py
@@ -36,6 +36,7 @@
         self.obedience = Obedience(tuning.unheeded_answers, settings.lease_s / 2)
         self.began = now
         self.plan_wanted = True
+        self.outage = False  # the last write was not carried out
         self.rental_due = now
         self.dirty: dict[JobId, Job] = {}
         self.ending: dict[JobId, Job] = {}  # complete or cancelled, end not yet durable
@@ -60,6 +61,7 @@
         self.jobs.drop(p, now, again=True)
         self.dirty[p.job.id] = p.job
         self.plan_wanted = True
+        self.outage = False  # the last write was not carried out
 
     def stop(self, p: Placement, now: Steady) -> None:
         m = self.fleet.get(p.machine)
--- a/src/eldercart/core/prediction.py
+++ b/src/eldercart/core/prediction.py
@@ -8,6 +8,7 @@
 
 import logging
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from eldercart.core.jobs import Job
@@ -219,7 +220,13 @@
         self.unused += len(self.bookings) - len(kept)
         self.bookings = kept
 
-    def booked(self) -> tuple[float, float]:
-        """CPUs booked: for jobs that need ordinary machines, and in all."""
-        ordinary = sum(b.cpus for b in self.bookings if not b.spot)
-        return ordinary, sum(b.cpus for b in self.bookings)
+    def booked(self, held: Callable[[JobId], float] = lambda _: 0.0) -> tuple[float, float]:
+        """CPUs booked: for jobs that need ordinary machines, and in all. What the upstream still
+        holds comes free for its successor, so only the rest is needed beside it."""
+        ordinary = everything = 0.0
+        for b in self.bookings:
+            cpus = max(0.0, b.cpus - held(b.upstream))
+            everything += cpus
+            if not b.spot:
+                ordinary += cpus
+        return ordinary, everything
--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -64,7 +64,6 @@
         self.finished: list[tuple[JobId, str]] = []  # newly durable ends, for waiting answers
         self.cleaning: dict[JobId, Job] = {}
         self.orphans: list[tuple[str, Revision]] = []
-        self.outage = False  # the last write was not carried out
         self._txn: PendingTxn | None = None
         self._pause = Steady(-1e9)
         self._most_ops: int = floor.settings.txn_ops
@@ -221,8 +220,8 @@
     ) -> bool:  # fmt: skip
         """Returns whether this leader is deposed."""
         self._txn = None
-        self.outage = outcome in (Outcome.REFUSED, Outcome.UNKNOWN)
-        if self.outage:
+        self.f.outage = outcome in (Outcome.REFUSED, Outcome.UNKNOWN)
+        if self.f.outage:
             self._pause = Steady(now + WRITE_PAUSE_S)
         if outcome is Outcome.OK:
             self._most_ops = min(self.f.settings.txn_ops, self._most_ops * 2)
--- a/src/eldercart/core/rental.py
+++ b/src/eldercart/core/rental.py
@@ -84,6 +84,10 @@
             self._gap = gap if self._gap == 0.0 else 0.9 * self._gap + 0.1 * gap
         self._last_arrival = now
 
+    def pause_excused(self, now: Steady) -> None:
+        if self._last_arrival is not None:
+            self._last_arrival = now
+
     def measure(self, jobs: Iterable[Job], booked: tuple[float, float], now: Steady) -> None:
         ordinary = booked[0]
         by_team: dict[str, float] = {}
--- a/src/eldercart/net/front.py
+++ b/src/eldercart/net/front.py
@@ -31,7 +31,6 @@
         self.node = node
         self._finals: OrderedDict[JobId, str] = OrderedDict()
         self._busy = 0
-        self._short = 0  # submissions refused for want of tokens since a peer was told
 
     def route(self, request: JsonRequest) -> None:
         path, method = request.path, request.method
@@ -79,10 +78,6 @@
         request.notifyFinish().addBoth(over)
         serve(request)
 
-    def take_short(self) -> int:
-        out, self._short = self._short, 0
-        return out
-
     # -- final states
 
     def final_of(self, job: JobId) -> str | None:
@@ -147,7 +142,6 @@
         if store.writes.available(now, FOR_ACCEPTING) < 1 or not store.requests.take(
             now, 1, FOR_ACCEPTING
         ):
-            self._short += 1
             # Its next try may well find another node with tokens: users keep their connections,
             # and a crowd that came while one node alone was up would ask that one for ever.
             request.reply(503, users.error_body("too many submissions"), RETRY_S, close=True)
--- a/src/eldercart/net/relaying.py
+++ b/src/eldercart/net/relaying.py
@@ -117,7 +117,7 @@
                 peers.Greet(
                     node.settings.label, self._number, node.election.epoch,
                     node.store.failing_since is None, self.relay.machines,
-                    node.front.take_short() if leads else 0, heard,
+                    node.store.short(now) if leads else 0, heard,
                 )
             )
         )  # fmt: skip
--- a/src/eldercart/net/store.py
+++ b/src/eldercart/net/store.py
@@ -11,9 +11,11 @@
 from eldercart.wire import state as wire
 from eldercart.wire.state import Item, Txn
 
-# Reserves by urgency, as shares of the burst: renewals take tokens whatever there is.
-FOR_ENDS, FOR_ACCEPTING, FOR_PLACING, FOR_POLLS = 0.0, 0.1, 0.3, 0.3
+# Reserves by urgency, as shares of the burst: renewals take tokens whatever there is; a user waits
+# for an acceptance, and an end can wait for the next token.
+FOR_ACCEPTING, FOR_ENDS, FOR_PLACING, FOR_POLLS = 0.0, 0.1, 0.3, 0.3
 TIMEOUT_S = 2.0
+READY = 5  # submissions that a node should be able to take at once
 
 
 class Store:
@@ -38,7 +40,11 @@
             (self.writes, self._settings.state_write_rps, 0.7),
         ):
             share = 1.0 if nodes == 1 else (most if leader else (1.0 - most) / (nodes - 1))
-            bucket.set_rate(0.92 * rate * share, max(3.0, 0.8 * rate * share), now)
+            bucket.set_rate(0.92 * rate * share, max(READY + 1.0, 0.8 * rate * share), now)
+
+    def short(self, now: Steady) -> int:
+        """How many tokens this node lacks to take a few submissions at once."""
+        return max(0, READY - min(self.requests.available(now), self.writes.available(now)))
 
     def lend(self, number: int, now: Steady) -> int:
         """Takes up to so many of this node's tokens for another one, if it can well spare them."""
--- a/src/eldercart/wire/peers.py
+++ b/src/eldercart/wire/peers.py
@@ -32,7 +32,7 @@
     epoch: Epoch
     store_ok: bool
     machines: int  # workers that report to the sender
-    short: int  # submissions it refused since for want of tokens
+    short: int  # tokens for submissions that it lacks
     heard: tuple[tuple[MachineId, ReportOrder], ...]  # answered by the sender itself
 
 
