--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -182,9 +182,13 @@
     w.submit("wk-000001", run_s=60.0, parcels=12)
     w.run(16)
     old = w.leader
-    for name in list(w.cloud.machines)[:2]:
-        w.at[name] = old  # where they would go if every other node had been full
-    w.run(1)
+    c = w.controller
+    assert c is not None
+    now = Steady(w.now)
+    # The other nodes have no room, so the leader keeps what comes to it.
+    w.relays[old].granted(c.epoch, w.relays[old].label, now, now, 500, None)
+    for name in [name for name, m in w.cloud.machines.items() if m.tasks][:2]:
+        w.at[name] = old
     before = {name: m for name, m in w.cloud.machines.items() if m.tasks}
     assert any(w.at[name] == old for name in before)
     w.cut.add(old)
