Tests of the added rules; cut refused transactions by jobs; keep the first tasks of the aged

Found by the new tests: two jobs in one refused transaction were set aside together again and again, so the sound one never ended; the first tasks of a job that had waited too long were stopped for others as soon as they ran, and were written ahead anew at every pass.

--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -59,6 +59,7 @@
     since: Steady = Steady(0)  # start of running, as seen here
     since_known: bool = True  # False: it ran already when this leader first heard of it
     reported: bool = False
+    kept: bool = False  # the first of a job that waited too long: not stopped for others
     mark: int = 0  # of the last report that listed it
     told: int = 0  # launches or kills of it that went out without effect so far
 
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -276,7 +276,9 @@
     candidates = [
         (lost_work(p, now), p.key, p)
         for p in m.placed.values()
-        if p.job.spec.priority < spec.priority and not p.stopping and p.phase is not Phase.ENDED
+        if p.job.spec.priority < spec.priority
+        and not (p.stopping or p.kept)
+        and p.phase is not Phase.ENDED
     ]
     candidates.sort(key=lambda c: c[:2])
     cpus = m.free_cpus - m.held_cpus + m.leaving_cpus
--- a/src/eldercart/core/planner.py
+++ b/src/eldercart/core/planner.py
@@ -167,7 +167,7 @@
                 self.planner.waiting.append(spec)
             left = min(job.pending, rules.team_room(spec, f.fleet, f.settings.teams))
             if cap is not None:
-                left = min(left, cap)
+                left = min(left, cap - job.queued)
             if left <= 0 or spec.together or spec.spread:
                 continue
             if cap is not None or now >= f.promises.preempts_from(job, lead, patience):
@@ -198,7 +198,9 @@
             return
         for choice in choices:
             for index in f.jobs.next_tasks(job, choice.number):
-                f.fleet.occupy(choice.machine, f.jobs.place(job, index, choice.machine.id, now))
+                p = f.jobs.place(job, index, choice.machine.id, now)
+                p.kept = cap is not None
+                f.fleet.occupy(choice.machine, p)
         f.dirty[job.id] = job
         least = self.least
         self.open = [m for m in self.open if m.free_cpus - m.held_cpus + EPS >= least]
@@ -255,14 +257,15 @@
             if take <= 0:
                 break
             left -= take
-            self._enqueue(job, m, take)
+            self._enqueue(job, m, take, aged)
         least = self.least
         self._ahead = [m for m in self._ahead if m.type.cpus * share - m.queued_cpus + EPS >= least]
 
-    def _enqueue(self, job: Job, m: Machine, number: int) -> None:
+    def _enqueue(self, job: Job, m: Machine, number: int, kept: bool = False) -> None:
         f = self.f
         for index in f.jobs.next_tasks(job, number):
             p = f.jobs.place(job, index, m.id, self.now)
+            p.kept = kept
             f.jobs.mark_queued(p, self.now)
             f.fleet.enqueue(m, p)
             f.fleet.hold(m, job.spec, 1)
--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -29,6 +29,7 @@
 
 WRITE_PAUSE_S = 0.25  # after a write that was not carried out
 TXN_BYTES = 56 * 1024  # the limit is 64 KiB; keys, guards and names take the rest
+ANY_JOBS = 1000
 ASIDE_S = 20.0  # for which a job is left alone whose record the store refuses for what it is
 
 
@@ -48,10 +49,7 @@
     cleanups: list[tuple[Job, list[int], bool]] = field(default_factory=list)
     orphans: list[tuple[str, Revision]] = field(default_factory=list)
     size: int = 0
-
-    def jobs(self) -> set[JobId]:
-        found = {job.id for job, _ in self.ends} | {job.id for job, _, _, _ in self.chunks}
-        return found | {job.id for job, _, _ in self.cleanups}
+    jobs: set[JobId] = field(default_factory=set)
 
 
 class Records:
@@ -67,6 +65,7 @@
         self._txn: PendingTxn | None = None
         self._pause = Steady(-1e9)
         self._most_ops: int = floor.settings.txn_ops
+        self._most_jobs = ANY_JOBS  # in one transaction
         self._aside: dict[JobId, Steady] = {}
         self._unsure: set[str] = set()  # keys whose version only a reread can tell
 
@@ -99,16 +98,18 @@
             job.end_sent = True
         return pending
 
-    def _held(self, job: Job, *keys: str) -> bool:
+    def _held(self, pending: PendingTxn, job: Job, *keys: str) -> bool:
         """One job's trouble must not hold back the others': it alone waits for its reread."""
-        return job.id in self._aside or any(k in self._unsure for k in keys)
+        if job.id in self._aside or any(k in self._unsure for k in keys):
+            return True
+        return len(pending.jobs) >= self._most_jobs and job.id not in pending.jobs
 
     def _add_ends(self, pending: PendingTxn, ops: int) -> bool:
         """Returns whether anything of less urgency may follow: not while an end waits for more
         tokens, or each token would go to a placement as it came."""
         txn = pending.txn
         for job in self.f.ending.values():
-            if self._held(job, END + job.id):
+            if self._held(pending, job, END + job.id):
                 continue
             how = users.CANCELLED if job.cancelled else users.DONE
             stored = [c for c in job.chunks.values() if c.version]
@@ -119,10 +120,11 @@
                 if whole and need > ops:
                     whole, need = False, 2
                 if len(txn.writes) + need > ops:
-                    return self._most_ops < 2
+                    return False
             txn.guards[END + job.id] = ABSENT
             txn.writes.append(Put(END + job.id, {"e": how, "n": job.spec.tasks}))
             pending.ends.append((job, how))
+            pending.jobs.add(job.id)
             pending.size += 250
             if whole:
                 txn.writes.append(Drop(JOB + job.id))
@@ -174,7 +176,7 @@
         key = place_key(job.id, c.number)
         if len(txn.writes) >= ops:
             return False
-        if self._held(job, key):
+        if self._held(pending, job, key):
             return True
         record = job.record(c)
         size = len(orjson.dumps(record)) + 2 * len(key) + 60
@@ -187,15 +189,17 @@
         ended = [p for p in c.placements.values() if p.phase is Phase.ENDED]
         c.dirty = c.urgent = False
         pending.chunks.append((job, c, planned, ended))
+        pending.jobs.add(job.id)
         return True
 
     def _add_cleanups(self, pending: PendingTxn, ops: int) -> None:
         txn = pending.txn
         for job in self.cleaning.values():
             left = ops - len(txn.writes)
-            if left < 2 and self._most_ops >= 2:
+            if left < 2:
                 return
-            if self._held(job) or any(p.phase is not Phase.ENDED for p in job.placements()):
+            there = any(p.phase is not Phase.ENDED for p in job.placements())
+            if there or self._held(pending, job):
                 continue
             stored = [c.number for c in job.chunks.values() if c.version]
             final = len(stored) + 2 <= left
@@ -206,6 +210,7 @@
             if final:
                 txn.writes += [Drop(JOB + job.id), Drop(GONE + job.id)]
             pending.cleanups.append((job, numbers, final))
+            pending.jobs.add(job.id)
         while self.orphans and len(txn.writes) < ops:
             key, version = self.orphans.pop()
             txn.guards[key] = version
@@ -225,6 +230,7 @@
             self._pause = Steady(now + WRITE_PAUSE_S)
         if outcome is Outcome.OK:
             self._most_ops = min(self.f.settings.txn_ops, self._most_ops * 2)
+            self._most_jobs = min(ANY_JOBS, self._most_jobs * 2)
             self._committed(pending, revision, now)
             return False
         log.info(
@@ -257,9 +263,12 @@
     def _split(self, pending: PendingTxn, now: Steady) -> None:
         """Refused for what it is, by its size or by one bad key: repeated as it is, it would hold
         everything back for ever. So it is cut in two until the job at fault stands alone."""
-        jobs = pending.jobs()
-        if len(jobs) > 1 and self._most_ops > 2:
-            self._most_ops = max(2, min(self._most_ops, len(pending.txn.writes)) // 2)
+        jobs = pending.jobs
+        if len(jobs) > 1:
+            self._most_jobs = len(jobs) // 2
+            return
+        if len(pending.txn.writes) > 2:
+            self._most_ops = max(2, len(pending.txn.writes) // 2)
             return
         if not jobs:
             self.orphans.clear()  # nobody misses them; a later leader may try again
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,259 @@
+"""The added rules in the stand-in world: every question is answered, nobody starves, and one job's
+trouble holds back no other."""
+
+import random
+from typing import Any
+
+import orjson
+import pytest
+
+from eldercart.core.controller import JobStatus, Outcome, Verdict
+from eldercart.core.fleet import Fleet, Life
+from eldercart.core.jobs import Phase
+from eldercart.units import JobId, Revision, Steady
+from eldercart.wire import cloud
+from relayworld import RelayWorld
+from standins import CATALOG
+from test_core import finish, submit_all
+from world import World
+
+ANSWER_S = 75.0
+
+
+# -- every question is answered
+
+
+@pytest.mark.parametrize(
+    ("name", "faults", "outage", "crashes"),
+    [
+        ("answers of the store lost", {"txn_lost": 0.3}, 0.0, 0),
+        ("store down for longer than a lease", {}, 25.0, 0),
+        ("leaders die while ends are written", {"txn_lost": 0.2}, 0.0, 5),
+        ("both", {"txn_lost": 0.2}, 15.0, 3),
+    ],
+)  # fmt: skip
+def test_every_job_is_answered_after_the_trouble(
+    name: str, faults: dict[str, Any], outage: float, crashes: int
+) -> None:
+    """Within 75 s after it, at the latest, each job is told a state; ends as the store has them."""
+    w = RelayWorld(3, **faults)
+    submit_all(w)
+    w.run(12)
+    w.outage_until = w.now + outage
+    w.run(outage)
+    for _ in range(crashes):
+        w.run(3)
+        w.crash(w.leader)
+    w.faults = {}
+    w.run(20)
+    end = w.now + ANSWER_S - 20
+    unanswered = set(w.jobs)
+    while unanswered and w.now < end:
+        w.run(0.5)
+        for job in list(unanswered):
+            assert w.controller is not None
+            status = w.controller.status(JobId(job))
+            if isinstance(status, JobStatus):
+                unanswered.discard(job)
+            elif status is Verdict.UNKNOWN_JOB and f"end/{job}" in w.store.keys:
+                unanswered.discard(job)  # a fresh read tells it
+    assert not unanswered, name
+
+
+def test_refused_transaction_is_cut_until_the_job_at_fault_stands_alone() -> None:
+    """A record that the store calls malformed, for its size or its key, must not be repeated with
+    all others for ever."""
+    w = World(2)
+    submit_all(w)
+    w.submit("wk-000099")
+    c = w.controller
+    assert c is not None
+    for _ in range(4000):
+        w.now += 0.1
+        now = Steady(w.now)
+        c.tick(now)
+        if c.plan_due(now):
+            c.plan(now)
+        w.serve_cloud(c, now)
+        pending = c.next_txn(now, 20)
+        if pending is not None:
+            if any("wk-000099" in write.key for write in pending.txn.writes):
+                c.txn_done(pending, Outcome.MALFORMED, Revision(0), (), now)
+            else:
+                status, answer = w.store.txn(pending.txn.body())
+                assert status == 200
+                c.txn_done(pending, Outcome.OK, Revision(answer["ledgerRev"]), (), now)
+        for m in list(w.cloud.machines.values()):
+            w.serve_worker(c, m, now, 0.1)
+        if sum(f"end/{job}" in w.store.keys for job in w.jobs) == len(w.jobs) - 1:
+            break
+    assert {j for j in w.jobs if f"end/{j}" not in w.store.keys} == {"wk-000099"}
+    assert isinstance(c.status(JobId("wk-000099")), JobStatus), "it stays known"
+
+
+def test_unreadable_record_does_not_stop_a_takeover() -> None:
+    """Where that job's tasks may be is not known: none may start. The others go on."""
+    w = World(4)
+    w.submit("wk-000001", run_s=30.0)
+    w.submit("wk-000002", run_s=5.0)
+    w.run(12)
+    key = next(i["path"] for i in w.store.range("place/wk-000001/"))
+    w.store.keys[key] = ({"a": "x", "d": [[0]], "r": None}, w.store.keys[key][1], None)
+    w.elect()
+    c = w.controller
+    assert c is not None
+    for _ in range(300):
+        w.run(0.2)
+        if "end/wk-000002" in w.store.keys:
+            break
+    assert "end/wk-000002" in w.store.keys
+    status = c.status(JobId("wk-000001"))
+    assert isinstance(status, JobStatus) and status.state == "pending"
+    assert not [p for p in c.jobs.jobs[JobId("wk-000001")].placements()]
+
+
+# -- nobody starves
+
+
+@pytest.mark.parametrize("largest", [{"crew": "t1"}, {"urgency": "idle"}, {"lot": "quick"}])
+def test_largest_jobs_begin_under_a_lasting_overload(largest: dict[str, Any]) -> None:
+    """Four times what the fleet can do, for minutes. Order alone would set the largest aside, and
+    the lowest priority behind all else, for as long as that lasts."""
+    w = World(21, capacity=2, tuning={"starve_s": 30.0, "starve_below_s": 40.0})
+    # The first jobs fill the machines; what arrives later finds no room.
+    number = 0
+
+    def small() -> None:
+        nonlocal number
+        number += 1
+        urgency = "urgent" if number % 2 else "standard"
+        w.submit(f"wk-{number:06d}", parcels=4, run_s=5.0, dueS=60.0, urgency=urgency)
+
+    for _ in range(10):
+        small()
+    w.run(10)
+    w.submit("wk-900000", **({"parcels": 40, "run_s": 5.0, "dueS": 90.0} | largest))
+    began = w.now
+    while not any(key.startswith("wk-900000/") for key, _, _ in w.started):
+        assert w.now - began < 75.0, "the largest job starves"
+        small()
+        w.run(1.0)
+    for _ in range(5):
+        small()
+        w.run(1.0)
+    finish(w, 900.0)
+    assert set(w.told.values()) == {"done"}
+
+
+def test_ageing_costs_short_jobs_little() -> None:
+    """Twice the same overload: with ageing the short ones end hardly later."""
+    ended: list[float] = []
+    for starve in (50.0, 10_000.0):
+        w = World(22, capacity=2, tuning={"starve_s": starve, "starve_below_s": starve})
+        w.submit("wk-900000", parcels=60, run_s=5.0, urgency="idle")
+        arrived: dict[str, float] = {}
+        took: list[float] = []
+        for i in range(60):
+            if i % 3 == 0:
+                job = f"wk-{i:06d}"
+                w.submit(job, parcels=6, run_s=5.0, urgency="urgent")
+                arrived[job] = w.now
+            w.run(1.0)
+        finish(w, 600.0)
+        c = w.controller
+        assert c is not None
+        took = [w.ended_at[job] - at for job, at in arrived.items()]
+        ended.append(sum(took) / len(took))
+    assert ended[0] < ended[1] + 2.0
+
+
+# -- the sums that are kept
+
+
+def recompute(fleet: Fleet) -> dict[str, Any]:
+    sums: dict[str, Any] = {"used": {}, "teams": {}, "ordinary": 0.0, "machines": {}}
+    for m in fleet.machines.values():
+        live = [p for p in m.placed.values() if p.phase is not Phase.ENDED]
+        for p in live:
+            spec = p.job.spec
+            sums["used"][spec.priority] = sums["used"].get(spec.priority, 0.0) + spec.cpus
+            sums["teams"][spec.team] = sums["teams"].get(spec.team, 0.0) + spec.cpus
+            if not spec.spot and not m.spot:
+                sums["ordinary"] += spec.cpus
+        by: dict[int, float] = {}
+        for p in live:
+            if not p.stopping:
+                by[p.job.spec.priority] = by.get(p.job.spec.priority, 0.0) + p.job.spec.cpus
+        sums["machines"][m.id] = (
+            len(live),
+            m.type.cpus - sum(p.job.spec.cpus for p in live),
+            m.type.memory_gb - sum(p.job.spec.memory_gb for p in live),
+            sum(p.job.spec.cpus for p in live if p.stopping),
+            sum(p.job.spec.cpus for p in m.queue.values()),
+            by,
+        )
+    return sums
+
+
+def kept(fleet: Fleet) -> dict[str, Any]:
+    return {
+        "used": fleet.used,
+        "teams": fleet.team_cpus,
+        "ordinary": fleet.ordinary_used,
+        "machines": {
+            m.id: (
+                m.live, m.free_cpus, m.free_memory, m.leaving_cpus, m.queued_cpus, m.by_priority
+            )
+            for m in fleet.machines.values()
+        },
+    }  # fmt: skip
+
+
+def same(a: Any, b: Any) -> bool:
+    if isinstance(a, dict):
+        return all(same(a.get(k, 0.0), b.get(k, 0.0)) for k in a.keys() | b.keys())
+    if isinstance(a, tuple):
+        return len(a) == len(b) and all(same(x, y) for x, y in zip(a, b, strict=True))
+    return abs(a - b) < 1e-6
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_kept_sums_equal_recomputed_ones(seed: int) -> None:
+    """Over a history with every kind of trouble, and changes of leader in between."""
+    w = RelayWorld(seed, capacity=4, txn_lost=0.1, answer_lost=0.1, report_twice=0.2)
+    rng = random.Random(seed)
+    submit_all(w)
+    for i in range(60):
+        if rng.random() < 0.3:
+            w.submit(
+                f"wk-9{i:05d}", parcels=rng.randrange(1, 20), cpus=rng.choice([1.0, 2.0, 4.0]),
+                urgency=rng.choice(["urgent", "standard", "idle"]), crew=rng.choice(["t1", "t2"]),
+                loaners=rng.random() < 0.7,
+            )  # fmt: skip
+        if rng.random() < 0.1:
+            w.cancel(rng.choice(list(w.jobs)))
+        if rng.random() < 0.05:
+            w.crash(w.leader)
+        if rng.random() < 0.1 and w.cloud.machines:
+            rng.choice(list(w.cloud.machines.values())).notice = 8.0
+        w.run(1.0)
+        c = w.controller
+        assert c is not None
+        assert same(kept(c.fleet), recompute(c.fleet))
+        assert set(c.fleet.queues) == {m.id for m in c.fleet.machines.values() if m.queue}
+
+
+def test_description_that_changes_keeps_the_sums() -> None:
+    """A machine known by name alone becomes an ordinary one with its first report."""
+    w = World(6)
+    w.submit("wk-000001", run_s=60.0, loaners=False)
+    w.run(14)
+    w.elect()
+    c = w.controller
+    assert c is not None and c.fleet.ordinary_used == 0.0
+    w.run(3)
+    assert c.fleet.ordinary_used == 12.0
+    kind = next(iter(cloud.parse_catalog(orjson.loads(orjson.dumps(CATALOG))).values()))
+    m = next(m for m in c.fleet.machines.values() if m.live and m.life is Life.UP)
+    c.fleet.describe(m, kind, m.zone, True)
+    assert same(kept(c.fleet), recompute(c.fleet))
--- a/tests/world.py
+++ b/tests/world.py
@@ -56,6 +56,7 @@
         self.jobs: dict[str, dict[str, Any]] = {}
         self.cancelled_at: dict[str, float] = {}
         self.told: dict[str, str] = {}
+        self.ended_at: dict[str, float] = {}
         self.late: list[tuple[float, bytes]] = []  # transactions still under way
         self.reports_due: dict[str, float] = {}
         self.started: set[tuple[str, int, str]] = set()
@@ -162,6 +163,7 @@
 
     def tell(self, job: str, how: str) -> None:
         assert self.told.setdefault(job, how) == how, "went_back"
+        self.ended_at.setdefault(job, self.now)
         assert self.store.keys[f"end/{job}"][0]["e"] == how, "told before it was durable"
         if how == users.CANCELLED:
             self.cancelled_at.setdefault(job, self.now)
