--- a/src/eldercart/core/rental.py
+++ b/src/eldercart/core/rental.py
@@ -95,7 +95,9 @@
             if job.cancelled or job.hold_until > now:
                 continue
             spec = job.spec
-            cpus = spec.cpus * (spec.tasks - job.done_count)
+            waiting = job.pending + job.queued
+            placed = spec.tasks - job.done_count - waiting
+            cpus = spec.cpus * (placed + self.tuning.waiting_share * waiting)
             team = self.teams.get(spec.team)
             if team is not None and team.cpus_max > 0:
                 cpus = min(cpus, max(0.0, team.cpus_max - by_team.get(spec.team, 0.0)))
