--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from eldercart.core import memory
 from eldercart.core import placement as rules
 from eldercart.core.cloudwork import (
     CloudCall,
@@ -29,6 +30,7 @@
 from eldercart.core.machines import Machines
 from eldercart.core.planner import Planner
 from eldercart.core.records import Outcome, PendingTxn, Records
+from eldercart.election import LEAD_KEY
 from eldercart.settings import NodeSettings, Tuning
 from eldercart.units import (
     ONLY_LIFE,
@@ -44,7 +46,7 @@
 )
 from eldercart.wire import Malformed, users, workers
 from eldercart.wire.cloud import MachineType
-from eldercart.wire.state import Item
+from eldercart.wire.state import Item, Put, Txn
 from eldercart.wire.users import JobSpec
 
 log = logging.getLogger("eldercart.controller")
@@ -86,6 +88,7 @@
         self.machines = Machines(self.floor, self.planner)
         self._last_tick = now
         self._summary_due = now
+        self._memo_due = Steady(now + tuning.memo_s)
 
     # ------------------------------------------------------------------ take-over
 
@@ -95,8 +98,11 @@
         place_items: Iterable[Item],
         gone_items: Iterable[Item],
         now: Steady,
+        memo_items: Iterable[Item] = (),
     ) -> None:
         """Takes over the records. Every recorded placement may be on its machine."""
+        for item in memo_items:
+            memory.recall(self.floor, item.key, item.value)
         for item in job_items:
             self.learn_job(item, now)
         orphans: list[tuple[str, Revision]] = []
@@ -290,6 +296,16 @@
     def next_txn(self, now: Steady, ops: int) -> PendingTxn | None:
         return self.records.next_txn(now, ops)
 
+    def next_memo(self, now: Steady) -> Txn | None:
+        """Now and then, a transaction that keeps what was learned; nobody waits for its outcome."""
+        if now < self._memo_due:
+            return None
+        self._memo_due = Steady(now + self.tuning.memo_s)
+        txn = Txn({LEAD_KEY: Revision(self.epoch)})
+        for key, value in list(memory.memos(self.floor).items())[: self.settings.txn_ops]:
+            txn.writes.append(Put(key, value))
+        return txn
+
     @property
     def ends_waiting(self) -> bool:
         return bool(self.floor.ending)
--- a/src/eldercart/core/fleet.py
+++ b/src/eldercart/core/fleet.py
@@ -93,6 +93,7 @@
         self.ordinary_used = 0.0  # CPUs of jobs that may use nothing else, on ordinary machines
         self.queues: dict[MachineId, Machine] = {}  # machines with tasks written ahead
         self._held: list[Machine] = []
+        self._recalled: dict[MachineId, dict[str, float]] = {}  # images, by an earlier leader
 
     def get(self, machine: MachineId) -> Machine | None:
         return self.machines.get(machine)
@@ -106,9 +107,14 @@
     ) -> Machine:  # fmt: skip
         m = Machine(id_, type_, zone, spot, life, hired, now, idle_since=now)
         m.free_cpus, m.free_gpus, m.free_memory = type_.cpus, type_.gpus, type_.memory_gb
+        m.images = self._recalled.pop(id_, {})
         self.machines[id_] = m
         return m
 
+    def recall_images(self, machine: MachineId, images: dict[str, float]) -> None:
+        """What an earlier leader knew of the machine's cache."""
+        self._recalled[machine] = images
+
     def describe(self, m: Machine, type_: MachineType, zone: str, spot: bool) -> None:
         """The report, or a new catalogue, knows better what the machine is."""
         m.free_cpus += type_.cpus - m.type.cpus
--- a/src/eldercart/core/prediction.py
+++ b/src/eldercart/core/prediction.py
@@ -116,6 +116,13 @@
         longest = job.longest if len(job.ran) >= 3 else LONGEST * self.run_s(job)
         return max(longest, LONGEST * self.run_s(job)) + LAUNCH_S
 
+    def paces(self) -> dict[str, tuple[float, float]]:
+        return {klass: (round(p.ran, 1), round(p.estimated, 1)) for klass, p in self._paces.items()}
+
+    def recall_paces(self, paces: dict[str, tuple[float, float]]) -> None:
+        for klass, (ran, estimated) in paces.items():
+            self._paces.setdefault(klass, Pace(ran, estimated))
+
     # -- the stream
 
     def arrived(self, job: Job, now: Steady) -> None:
--- a/src/eldercart/net/leading.py
+++ b/src/eldercart/net/leading.py
@@ -21,10 +21,11 @@
 )
 from eldercart.core.controller import Delete as DeleteCall
 from eldercart.core.jobs import GONE, JOB, PLACE
+from eldercart.core.memory import MEMO
 from eldercart.election import LEAD_KEY, Role
 from eldercart.net.buckets import Bucket
 from eldercart.net.client import HttpClient, WorkerClient
-from eldercart.net.store import FOR_ENDS, FOR_PLACING
+from eldercart.net.store import FOR_ENDS, FOR_MEMORY, FOR_PLACING
 from eldercart.units import Epoch, JobId, MachineId, NodeId, ReportOrder, Revision, Steady, WallTime
 from eldercart.wire import Malformed, cloud, peers, users, workers
 from eldercart.wire.checks import load_object
@@ -74,7 +75,7 @@
         log.info("elected epoch=%d", epoch)
         parts: dict[str, list[Item]] = {}
         since: list[Revision] = []
-        prefixes: list[str] = [CATALOG_KEY, JOB, PLACE, GONE]
+        prefixes: list[str] = [CATALOG_KEY, JOB, PLACE, GONE, MEMO]
 
         def read() -> None:
             if life != self._life:
@@ -104,7 +105,7 @@
                 node.settings, node.tuning, epoch, dict(node.types), now, WallTime(time.time()),
                 node.life,
             )  # fmt: skip
-            c.load(parts[JOB], parts[PLACE], parts[GONE], now)
+            c.load(parts[JOB], parts[PLACE], parts[GONE], now, parts[MEMO])
             gc.collect()
             gc.freeze()
             self.controller = c
@@ -207,6 +208,12 @@
             pending = c.next_txn(now, ops)
             if pending is not None:
                 self._write(c, pending, now)
+        if node.store.writes.available(now, FOR_MEMORY) >= 1:
+            memo = c.next_memo(now)
+            if memo is not None:
+                node.store.requests.force(now)
+                node.store.writes.force(now, len(memo.writes))
+                node.store.txn(memo, lambda status, revision, failed: None)
         for machine, address in c.take_probes():
             self._probe(c, machine, address)
         if c.cloud.catalog_changed:
--- a/src/eldercart/net/store.py
+++ b/src/eldercart/net/store.py
@@ -14,6 +14,7 @@
 # Reserves by urgency, as shares of the burst: renewals take tokens whatever there is; a user waits
 # for an acceptance, and an end can wait for the next token.
 FOR_ACCEPTING, FOR_ENDS, FOR_PLACING, FOR_POLLS = 0.0, 0.1, 0.3, 0.3
+FOR_MEMORY = 0.6
 TIMEOUT_S = 2.0
 READY = 5  # submissions that a node should be able to take at once
 
@@ -185,4 +186,4 @@
         self._http.request(b"GET", path, None, wait_s + 3.0, got)
 
 
-__all__ = ["FOR_ACCEPTING", "FOR_ENDS", "FOR_PLACING", "FOR_POLLS", "Store"]
+__all__ = ["FOR_ACCEPTING", "FOR_ENDS", "FOR_MEMORY", "FOR_PLACING", "FOR_POLLS", "Store"]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from eldercart.core import memory
 from eldercart.core import placement as rules
 from eldercart.core.controller import JobStatus
 from eldercart.units import JobId, Steady
@@ -270,3 +271,23 @@
     w.run(3)
     assert rules.UNKNOWN_ZONE not in rules.in_zones(job, c.fleet)
     finish(w)
+
+
+def test_new_leader_recalls_images_and_paces() -> None:
+    """A cache that nobody knows of is a fetch in the way of each urgent task."""
+    w = World(18, tuning={"memo_s": 2.0})
+    w.submit("wk-000001", run_s=4.0, haulS=6.0, parcels=4)
+    w.submit("wk-000002", run_s=60.0, kit="other", parcels=4)
+    w.run(20)
+    before = w.controller
+    assert before is not None
+    held = {m.id: dict(m.images) for m in before.fleet.machines.values() if m.images}
+    assert held
+    w.elect()
+    after = w.controller
+    assert after is not None and after is not before
+    w.run(3)
+    assert held.items() <= {m.id: m.images for m in after.fleet.machines.values()}.items()
+    assert after.floor.predictor.paces() == before.floor.predictor.paces() != {}
+    after.floor.predictor.recall_paces({})
+    memory.recall(after.floor, "memo/images/0", {"n": ["a"], "g": [], "m": {"n-1": [3]}})
--- a/tests/world.py
+++ b/tests/world.py
@@ -84,7 +84,7 @@
         def items(prefix: str) -> list[state.Item]:
             return [state.parse_item(orjson.dumps(i)) for i in self.store.range(prefix)]
 
-        c.load(items("job/"), items("place/"), items("gone/"), now)
+        c.load(items("job/"), items("place/"), items("gone/"), now, items("memo/"))
         self.controller = c
 
     def submit(self, job: str, run_s: float = 6.0, **changes: Any) -> None:
@@ -137,6 +137,9 @@
                 found = self.store.item(key)
                 item = None if found is None else state.parse_item(orjson.dumps(found))
                 c.reread_done(key, item, now)
+        memo = c.next_memo(now)
+        if memo is not None and not down:
+            self.store.txn(memo.body())
         pending = c.next_txn(now, 20)
         if pending is None:
             return
