--- a/src/eldercart/election/__init__.py
+++ b/src/eldercart/election/__init__.py
@@ -68,6 +68,7 @@
         self._absent = False  # the last read found no leader key
         self._stale_hold: LeaseId | None = None
         self._busy = False
+        self._back_at = Steady(-1e9)
 
     # -- what others may ask
 
@@ -102,6 +103,15 @@
         if self.role is Role.LEADER:
             self._step_down(now)
 
+    def resign(self, now: Steady) -> None:
+        """Gives the hold up for one that can do more, and stands back for a while."""
+        if self.role is not Role.LEADER:
+            return
+        hold = self._hold
+        self._step_down(now)
+        self._stale_hold = hold
+        self._back_at = Steady(now + 3 * self._life)
+
     def next_action(self, now: Steady) -> Action | None:
         if self._busy:
             return None
@@ -124,7 +134,7 @@
             return None
         if self._stale_hold is not None:
             return DropHold(self._stale_hold)
-        if self._absent:
+        if self._absent and now >= self._back_at:
             if self._hold is None or now >= self._deadline:
                 return OpenHold(self._life)
             txn = Txn(
--- a/src/eldercart/net/leading.py
+++ b/src/eldercart/net/leading.py
@@ -40,6 +40,7 @@
 
 CATALOG_KEY = "catalog"
 CANCEL_WAIT_S = 1.5
+UNHEARD_S = 5.0  # without a word from any peer or worker, after which a leader hands over
 PUMP_S = 0.02  # in which events gather before what follows from them is looked for
 
 
@@ -57,6 +58,8 @@
         rate = 0.9 * s.cloud_rps
         self._cloud_tokens = Bucket(rate, max(1.0, rate), node.clock())
         self._pump_set = False
+        self._began = node.clock()
+        self.heard_at = node.clock()  # when a worker reported last, here or to a relay
 
     @property
     def acts(self) -> bool:
@@ -109,6 +112,7 @@
             gc.collect()
             gc.freeze()
             self.controller = c
+            self._began = now
             self._watch_jobs(life, since[0])
             self.pump()
 
@@ -128,6 +132,11 @@
         c = self.controller
         if c is None:
             return
+        if self._unheard(c, now):
+            log.info("nobody is heard, peer or worker: hands over")
+            self.node.election.resign(now)
+            self.end("hears nobody")
+            return
         c.tick(now)
         if c.plan_due(now):
             c.plan(now)
@@ -136,6 +145,13 @@
             self.node.meters.add("plan", took)
         self.pump()
 
+    def _unheard(self, c: Controller, now: Steady) -> bool:
+        """Whether the store alone can be reached: another node would then lead better."""
+        if not self.node.relaying.links or not c.fleet.machines:
+            return False
+        since = max(self.heard_at, self._began, self.node.relaying.peer_heard)
+        return now - since > UNHEARD_S
+
     # -- job records
 
     def _watch_jobs(self, life: int, after: Revision) -> None:
@@ -364,6 +380,7 @@
         c = self.controller
         if c is None or report.epoch > c.epoch:
             return [], True
+        self.heard_at = now
         commands = c.on_report(report, now, relay)
         if commands is None:
             return None, False
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -116,6 +116,21 @@
     assert isinstance(e.next_action(now), ReadLead)
 
 
+def test_leader_that_hears_nobody_stands_back() -> None:
+    """It keeps its hold through the store alone, and nobody else could lead."""
+    e = elected()
+    e.resign(Steady(1.0))
+    assert e.role is Role.FOLLOWER
+    assert e.next_action(Steady(1.0)) == DropHold(HOLD)
+    e.dropped(Steady(1.1))
+    assert isinstance(e.next_action(Steady(1.1)), ReadLead)
+    e.read(None, Steady(1.2))
+    assert e.next_action(Steady(1.3)) is None, "somebody else first"
+    assert isinstance(e.next_action(Steady(3.0)), ReadLead)
+    e.read(None, Steady(3.0))
+    assert isinstance(e.next_action(Steady(11.0)), OpenHold), "nobody else came"
+
+
 def test_claim_with_lost_answer_is_found_by_reading() -> None:
     e = Election(NodeId("n0"), 3.0, 0.02)
     now = Steady(0.0)
