Fill the cheaper types first; keep no ordinary room beyond the mean

So the room kept on ordinary machines, the dear ones, bought nothing, and the filling order kept the small spot machines in use.

--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -111,13 +111,21 @@
     return counts
 
 
-def preference(spec: JobSpec, m: Machine, shy: bool = False) -> tuple[bool, float, float]:
+def preference(spec: JobSpec, m: Machine, shy: bool = False) -> tuple[bool, float, float, float]:
     """Lower is better. Ordinary machines are left for jobs that may use nothing else; then a
-    cached image (as reports and starts have shown); then the fullest machine, so that whole
+    cached image (as reports and starts have shown) or the shortest fetch; then the cheaper type,
+    so that the dearer ones come free and are returned; then the fullest machine, so that whole
     machines come free. What a spot machine has taken with it is long, or it would have ended:
     it would be lost again, so it goes the other way round."""
-    fetch = 0.0 if spec.image in m.images else spec.image_gb / max(m.type.fetch_gb_per_s, 1e-3)
-    return (m.spot if shy else spec.spot and not m.spot, fetch, m.free_cpus)
+    kind = m.type
+    fetch = 0.0 if spec.image in m.images else spec.image_gb / max(kind.fetch_gb_per_s, 1e-3)
+    price = kind.spot_price if m.spot else kind.price
+    return (
+        m.spot if shy else spec.spot and not m.spot,
+        fetch,
+        price / max(kind.cpus, 1.0),
+        m.free_cpus,
+    )
 
 
 def choose(
--- a/src/eldercart/core/rental.py
+++ b/src/eldercart/core/rental.py
@@ -75,7 +75,7 @@
     _quiet: bool = False
 
     def __post_init__(self) -> None:
-        self.ordinary = Demand(self.tuning.demand_spread)
+        self.ordinary = Demand(self.tuning.ordinary_spread)
         self.any = Demand(self.tuning.demand_spread)
 
     def arrived(self, now: Steady) -> None:
@@ -116,7 +116,7 @@
 
     def targets(self) -> tuple[float, float]:
         share = 1.0 + self.tuning.headroom_share
-        return self.ordinary.level * share, self.any.level * share
+        return self.ordinary.level, self.any.level * share
 
     def refuse(self, offer: Offer, now: Steady) -> None:
         self.refused[offer] = Steady(now + self.tuning.refusal_s)
