--- a/src/eldercart/core/planner.py
+++ b/src/eldercart/core/planner.py
@@ -146,7 +146,6 @@
         self._leaving: list[Machine] | None = None
         self._full: set[tuple[Any, ...]] = set()  # shapes that found no room in this pass
         self._no_claim: set[tuple[Any, ...]] = set()
-        self._fetches: dict[str, float] = {}
 
     def run(self) -> None:
         f, now = self.f, self.now
@@ -171,28 +170,11 @@
                 left = min(left, cap - job.queued)
             if left <= 0 or spec.together or spec.spread:
                 continue
-            if cap is not None or now >= f.promises.preempts_from(
-                job, lead + self._fetch_s(spec), patience
-            ):
+            if cap is not None or now >= f.promises.preempts_from(job, lead, patience):
                 left -= self._claim(job, left, shape)
             if left > 0:
                 self._write_ahead(job, left, cap is not None)
 
-    def _fetch_s(self, spec: JobSpec) -> float:
-        """How long a task of the job is likely to fetch its image: the share of the machines that
-        do not hold it, times the time that they would take. Room made for a promise must be
-        there that much sooner."""
-        found = self._fetches.get(spec.image)
-        if found is None:
-            slow = sum(
-                1.0 / max(m.type.fetch_gb_per_s, 1e-3)
-                for m in self.machines
-                if spec.image not in m.images
-            )
-            found = spec.image_gb * slow / len(self.machines)
-            self._fetches[spec.image] = found
-        return found
-
     def _hold_queued(self, priority: int, above_was: int | None) -> None:
         """What was written ahead keeps its room from jobs of the same or lower priority."""
         for m in self.f.fleet.queues.values():
