--- a/src/eldercart/core/floor.py
+++ b/src/eldercart/core/floor.py
@@ -29,7 +29,7 @@
         self.types = types
         self.jobs = JobBook(0)
         self.fleet = Fleet()
-        self.promises = Promises(settings.waits, settings.finishes)
+        self.promises = Promises(settings.waits, settings.finishes, settings.deadlines)
         self.rental = Rental(tuning, settings.teams)
         self.predictor = Predictor(tuning)
         self.health = Health(tuning.quarantine_jobs, tuning.error_backoff_s)
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -2,7 +2,7 @@
 
 import heapq
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from eldercart.core.fleet import EPS, Fleet, Machine
 from eldercart.core.jobs import Job, Phase, Placement
@@ -190,6 +190,7 @@
 
     waits: dict[str, tuple[float, ...]]
     finishes: dict[str, tuple[float, ...]]
+    deadlines: dict[str, tuple[float, ...]] = field(default_factory=dict)  # times the job's own
 
     def start_dues(self, job: Job, longest_s: float) -> list[float]:
         """Until when the job should have been started, the nearest first."""
@@ -197,7 +198,7 @@
         dues = [job.arrived + wait for wait in self.waits.get(spec.klass, ())]
         done_by = list(self.finishes.get(spec.klass, ()))
         if spec.deadline_s is not None:
-            done_by += [spec.deadline_s, 1.5 * spec.deadline_s]
+            done_by += [t * spec.deadline_s for t in self.deadlines.get(spec.klass, (1.0,))]
         dues += [job.arrived + within - longest_s for within in done_by]
         return sorted(dues)
 
--- a/src/eldercart/settings/platform.py
+++ b/src/eldercart/settings/platform.py
@@ -49,6 +49,7 @@
     teams: dict[str, Team]
     waits: dict[str, tuple[float, ...]]  # class -> the waits its users were promised, in seconds
     finishes: dict[str, tuple[float, ...]]  # class -> within what its jobs should be done
+    deadlines: dict[str, tuple[float, ...]]  # class -> times its deadline by which they should
     report_s: float
     lease_s: float
     cancel_s: float
@@ -95,6 +96,11 @@
             raise BadSettings(f"settings: {path}: must be at least {least:g}")
         return float(value)
 
+    def times(self, path: str) -> float:
+        """A factor that may be left out."""
+        parent, _, name = path.rpartition(".")
+        return self.number(path, 0.01) if self.get(parent).get(name) is not None else 1.0
+
     def items(self, path: str) -> range:
         value = self.get(path)
         if not isinstance(value, list) or not all(isinstance(v, dict) for v in value):
@@ -123,12 +129,14 @@
             read.number(at + "gpus_max"),
         )
         teams[team.name] = team
-    promised: dict[str, dict[str, tuple[float, ...]]] = {"wait": {}, "finished": {}}
+    promised: dict[str, dict[str, tuple[float, ...]]] = {"wait": {}, "finished": {}, "deadline": {}}
     for i in read.items("settings.objectives"):
         at = f"settings.objectives.{i}."
         of_kind = promised.get(read.text(at + "kind"))
         if of_kind is not None:
-            klass, within = read.text(at + "class"), read.number(at + "within_s")
+            klass = read.text(at + "class")
+            times = read.text(at + "kind") == "deadline"
+            within = read.times(at + "times") if times else read.number(at + "within_s")
             of_kind[klass] = tuple(sorted({*of_kind.get(klass, ()), within}))
     return NodeSettings(
         label=NodeId(read.text("label")),
@@ -149,6 +157,7 @@
         teams=teams,
         waits=promised["wait"],
         finishes=promised["finished"],
+        deadlines=promised["deadline"],
         report_s=read.number("settings.workers.report_s", 0.001),
         lease_s=read.number("settings.workers.lease_s", 0.001),
         cancel_s=read.number("settings.workers.cancel_s", 0.001),
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -322,7 +322,7 @@
 
 
 def test_promises_count_back_to_a_start() -> None:
-    p = rules.Promises({"slow": (8.0, 20.0)}, {"slow": (60.0,)})
+    p = rules.Promises({"slow": (8.0, 20.0)}, {"slow": (60.0,)}, {"slow": (1.0, 1.5)})
     late = job(1, "a", dueS=30.0)
     assert p.start_dues(late, 12.0) == [9.0, 19.0, 21.0, 34.0, 49.0]
     assert p.preempts_from(late, 3.0, 5.0) == pytest.approx(1.0 + 0.55 * 8.0)
