--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -202,11 +202,6 @@
         dues += [job.arrived + within - longest_s for within in done_by]
         return sorted(dues)
 
-    def next_start(self, job: Job, now: Steady) -> float | None:
-        """Until when the job's tasks should have started, if a promise of that kind is left."""
-        waits = (job.arrived + wait for wait in self.waits.get(job.spec.klass, ()))
-        return next((due for due in waits if due > now), None)
-
     def preempts_from(self, job: Job, lead_s: float, patience_s: float) -> float:
         """From when on a waiting job may have others stopped. Until its promise comes near it
         takes what ends by itself: stopped work is lost, and most would have ended soon."""
--- a/src/eldercart/core/planner.py
+++ b/src/eldercart/core/planner.py
@@ -142,8 +142,6 @@
             for m in machines
             if m.free_cpus + EPS >= least and m.free_memory > EPS and m.refuse_until <= now
         ]
-        rates = [m.type.fetch_gb_per_s for m in machines]
-        self.pull = max(1e-3, sum(rates) / len(rates))
         self._ahead: list[Machine] | None = None
         self._leaving: list[Machine] | None = None
         self._full: set[tuple[Any, ...]] = set()  # shapes that found no room in this pass
@@ -164,11 +162,6 @@
             if self.open and shape not in self._full:
                 kept = spec.spot and keeps is not None and spec.priority <= keeps and cap is None
                 kept = kept and not job.shy
-                if cap is None and self._fetch_hurts(job):
-                    self._place(job, shape, kept, None, cached=True)
-                    left = min(job.pending, rules.team_room(spec, f.fleet, f.settings.teams))
-                    if left > 0 and not (spec.together or spec.spread):
-                        self._claim(job, left, shape, cached=True)
                 self._place(job, shape, kept, cap)
             if cap is None and (job.pending or job.queued):
                 self.planner.waiting.append(spec)
@@ -182,16 +175,6 @@
             if left > 0:
                 self._write_ahead(job, left, cap is not None)
 
-    def _fetch_hurts(self, job: Job) -> bool:
-        """Whether a fetch of its image would break the job's next promise to start. Room that is
-        made where the image lies, by stopping what has hardly begun, is then sooner than room
-        that is free elsewhere."""
-        due = self.f.promises.next_start(job, self.now)
-        if due is None:
-            return False
-        report = self.f.settings.report_s
-        return self.now + 2 * report + job.spec.image_gb / self.pull > due > self.now + 2 * report
-
     def _hold_queued(self, priority: int, above_was: int | None) -> None:
         """What was written ahead keeps its room from jobs of the same or lower priority."""
         for m in self.f.fleet.queues.values():
@@ -202,20 +185,15 @@
                 if above >= priority and (above_was is None or above < above_was):
                     self.f.fleet.hold(m, p.job.spec, 1)
 
-    def _place(
-        self, job: Job, shape: tuple[Any, ...], no_ordinary: bool, cap: int | None,
-        cached: bool = False,
-    ) -> None:  # fmt: skip
+    def _place(self, job: Job, shape: tuple[Any, ...], no_ordinary: bool, cap: int | None) -> None:
         f, now, spec = self.f, self.now, job.spec
         wanted = job.pending + job.queued if cap is None else min(cap, job.pending + job.queued)
         machines = [m for m in self.open if m.spot] if no_ordinary else self.open
-        if cached:
-            machines = [m for m in machines if spec.image in m.images]
         choices = rules.choose(job, wanted, machines, f.fleet, f.settings.teams, now)
         self._take_back(job, sum(c.number for c in choices) - job.pending)
         if not choices:
             plain = not (spec.together or spec.spread or job.bad_machines)
-            if plain and not cached and rules.team_room(spec, f.fleet, f.settings.teams) > 0:
+            if plain and rules.team_room(spec, f.fleet, f.settings.teams) > 0:
                 self._full.add(shape)
             return
         for choice in choices:
@@ -293,7 +271,7 @@
             f.fleet.hold(m, job.spec, 1)
         f.dirty[job.id] = job
 
-    def _claim(self, job: Job, left: int, shape: tuple[Any, ...], cached: bool = False) -> int:
+    def _claim(self, job: Job, left: int, shape: tuple[Any, ...]) -> int:
         """Holds room for a job that found none: first where tasks are being stopped anyway, then
         by stopping tasks of lower priority, those that lose the least work first, among some of
         the machines. Without the hold, small tasks would take each freed bit and a larger one
@@ -307,8 +285,6 @@
         for m in self._leaving:
             if claimed >= left:
                 return claimed
-            if cached and spec.image not in m.images:
-                continue
             if rules.allowed(spec, m) and m.id not in job.bad_machines:
                 n = min(rules.room_soon(spec, m), left - claimed)
                 if n > 0:
@@ -326,8 +302,6 @@
                 continue
             if not rules.allowed(spec, m) or m.id in job.bad_machines:
                 continue
-            if cached and spec.image not in m.images:
-                continue
             offer = rules.cheapest_victims(job, m, now)
             if offer is not None:
                 offers.append((offer[0], m.id, m, offer[1]))
@@ -347,6 +321,6 @@
             offer = rules.cheapest_victims(job, m, now)
             if offer is not None:
                 heapq.heappush(offers, (offer[0], m.id, m, offer[1]))
-        if claimed == 0 and not (job.bad_machines or cached):
+        if claimed == 0 and not job.bad_machines:
             self._no_claim.add(shape)
         return claimed
