Leave a machine alone that shows itself while its relay can't reach the leader; clean-up

Seen on reading: with connections between nodes refused for longer than two leases, a machine whose tasks do not change is answered by its relay and unheard by the leader, which would delete it although it answers when asked. Now it is left alone for five leases as long as it does; a machine that does not answer is deleted as before. Test for both. Direct questions are spread out (4 at once), and names that nothing used are gone.

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -26,7 +26,7 @@
 )
 from eldercart.core.fleet import Life
 from eldercart.core.floor import Floor
-from eldercart.core.jobs import GONE, JOB, PLACE, Job, Phase, Placement, end_of, parse_job_record
+from eldercart.core.jobs import GONE, JOB, PLACE, Placement, end_of, parse_job_record
 from eldercart.core.machines import Machines
 from eldercart.core.planner import Planner
 from eldercart.core.records import Outcome, PendingTxn, Records
@@ -350,6 +350,6 @@
 
 
 __all__ = [
-    "CloudCall", "Controller", "Delete", "GetCatalog", "Job", "JobStatus", "ListPage", "Outcome",
-    "PendingTxn", "Phase", "Rent", "Verdict",
+    "CloudCall", "Controller", "Delete", "GetCatalog", "JobStatus", "ListPage", "Outcome",
+    "PendingTxn", "Rent", "Verdict",
 ]  # fmt: skip
--- a/src/eldercart/core/machines.py
+++ b/src/eldercart/core/machines.py
@@ -19,7 +19,8 @@
 TASKS_S = 1.5  # between two looks at the tasks of all machines
 PROBE_FROM = 0.7  # of the patience, after which a silent machine is asked directly
 PROBE_S = 2.0  # between two such questions
-PROBES = 16  # handed out at once
+PROBES = 4  # handed out at once
+CUT_LEASES = 5.0  # for which a machine is left alone that shows itself, but not through its relay
 UNHEARD_S = 2.0  # without a word from a relay, after which its machines' silence may be its own
 
 
@@ -360,13 +361,16 @@
         limit = patience
         if m.taken_at is not None and now > m.taken_at:
             limit = 1.5 * self.f.settings.report_s  # it was told to us that it would go
-        elif m.shown > m.last_heard:
-            # It lives, and reports where this leader hears nothing: to a leader or a relay that
-            # is cut off. That one lets go of it within its grant.
-            limit += self.f.settings.lease_s
-        elif m.relay is not None and now - self._relays.get(m.relay, now) > UNHEARD_S:
-            # Its relay is silent: it needs time to find another.
-            limit += self.f.settings.lease_s / 2
+        else:
+            unheard = m.relay is not None and now - self._relays.get(m.relay, now) > UNHEARD_S
+            if m.shown > m.last_heard:
+                # It lives, and reports where this leader hears nothing. A node that is cut off
+                # lets go of it within its grant; one that can't reach this node, but the store,
+                # goes on answering what is unchanged.
+                limit += self.f.settings.lease_s * (CUT_LEASES if unheard else 1.0)
+            elif unheard:
+                # Its relay is silent: it needs time to find another.
+                limit += self.f.settings.lease_s / 2
         return now - m.last_heard > limit
 
     def _watch_tasks(self, m: Machine, now: Steady) -> None:
--- a/src/eldercart/core/rental.py
+++ b/src/eldercart/core/rental.py
@@ -268,7 +268,3 @@
                 supply_ordinary -= cpus
             out.append(m)
         return out
-
-
-def _price_per_cpu(m: Machine) -> float:
-    return (m.type.spot_price if m.spot else m.type.price) / max(m.type.cpus, 1.0)
--- a/src/eldercart/election/__init__.py
+++ b/src/eldercart/election/__init__.py
@@ -121,10 +121,6 @@
             self._sent = now
         return action
 
-    def next_wake(self, now: Steady) -> float:
-        due = self._touch_due if self.role is Role.LEADER else self._read_due
-        return max(0.0, due - now)
-
     # -- decisions
 
     def _choose(self, now: Steady) -> Action | None:
--- a/src/eldercart/settings/operator.py
+++ b/src/eldercart/settings/operator.py
@@ -25,9 +25,6 @@
         except KeyError:
             raise AttributeError(name) from None
 
-    def as_dict(self) -> dict[str, Any]:
-        return dict(self._values)
-
 
 def load_schema() -> dict[str, Any]:
     schema: dict[str, Any] = orjson.loads(SCHEMA.read_bytes())
--- a/src/eldercart/units.py
+++ b/src/eldercart/units.py
@@ -37,8 +37,3 @@
 
 def task_key(job: JobId, index: int) -> TaskKey:
     return TaskKey(f"{job}/{index}")
-
-
-def split_task_key(key: TaskKey) -> tuple[JobId, int]:
-    job, _, index = key.rpartition("/")
-    return JobId(job), int(index)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -248,3 +248,29 @@
     assert now_known is None or now_known.last_heard == heard, "a copy renews no liveness"
     finish(w)
     assert w.told[JobId("wk-000001")] == "done"
+
+
+@pytest.mark.parametrize(("shows", "deleted"), [(True, False), (False, True)])
+def test_machine_behind_a_relay_that_is_not_heard(shows: bool, deleted: bool) -> None:
+    """Connections between nodes are refused, and the relay goes on answering what is unchanged as
+    long as the store shows the epoch. The machine is asked directly before its silence counts."""
+    w = RelayWorld(6, capacity=1)
+    w.submit("wk-000001", run_s=90.0, parcels=2, cpus=4.0)
+    w.run(14)
+    c = w.controller
+    assert c is not None
+    m = next(m for m in c.fleet.machines.values() if m.live)
+    other = next(i for i in range(w.nodes) if i != w.leader)
+    m.relay = w.relays[other].label
+    now = w.now
+    c.heard(w.relays[other].label, (), Steady(now))
+    asked = 0
+    while w.now < now + 30.0:
+        w.now += 0.1
+        c.tick(Steady(w.now))
+        for machine, _ in c.take_probes():
+            asked += 1
+            if shows:
+                c.shown(machine, Steady(w.now))
+    assert asked > 2
+    assert (m.id in c.floor.doomed) is deleted
