--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -111,6 +111,18 @@
     return counts
 
 
+def being_fetched(m: Machine, image: str) -> float:
+    """GB of other images that tasks there wait for: fetched at once, they share the rate."""
+    if not m.live:
+        return 0.0
+    found = {
+        p.job.spec.image: p.job.spec.image_gb
+        for p in m.placed.values()
+        if p.phase < Phase.RUNNING and (not p.reported or p.phase is Phase.FETCHING)
+    }
+    return sum(gb for name, gb in found.items() if name != image)
+
+
 def preference(spec: JobSpec, m: Machine, shy: bool = False) -> tuple[bool, float, float, float]:
     """Lower is better. Ordinary machines are left for jobs that may use nothing else; then a
     cached image (as reports and starts have shown) or the shortest fetch; then the cheaper type,
@@ -118,7 +130,9 @@
     machines come free. What a spot machine has taken with it is long, or it would have ended:
     it would be lost again, so it goes the other way round."""
     kind = m.type
-    fetch = 0.0 if spec.image in m.images else spec.image_gb / max(kind.fetch_gb_per_s, 1e-3)
+    fetch = 0.0
+    if spec.image not in m.images:
+        fetch = (spec.image_gb + being_fetched(m, spec.image)) / max(kind.fetch_gb_per_s, 1e-3)
     price = kind.spot_price if m.spot else kind.price
     return (
         m.spot if shy else spec.spot and not m.spot,
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -7,7 +7,7 @@
 
 from eldercart.cli import main
 from eldercart.core import placement as rules
-from eldercart.core.fleet import Fleet
+from eldercart.core.fleet import Fleet, Life
 from eldercart.core.jobs import Job, JobBook
 from eldercart.core.prediction import Predictor
 from eldercart.core.rental import Rental
@@ -16,9 +16,10 @@
 from eldercart.net.node import could_serve
 from eldercart.settings import BadSettings, load_tuning
 from eldercart.settings.platform import parse_platform
-from eldercart.units import Epoch, LeaseId, NodeId, Revision, Steady
-from eldercart.wire import users
+from eldercart.units import Epoch, LeaseId, MachineId, NodeId, Revision, Steady
+from eldercart.wire import cloud, users
 from eldercart.wire.state import Item
+from standins import CATALOG
 from world import PLATFORM, submission
 
 
@@ -287,6 +288,24 @@
     assert [j.late for j in ordered] == [False, False, True, False]
 
 
+def test_fetches_on_one_machine_share_its_rate() -> None:
+    """A machine that fetches already is a worse place for a task that must fetch another image."""
+    book, fleet = JobBook(100), Fleet()
+    kind = cloud.parse_catalog(CATALOG)["big"]
+    now = Steady(0.0)
+    busy, idle = (
+        fleet.add(MachineId(n), kind, "b", True, Life.UP, now, now) for n in ("n-1", "n-2")
+    )
+    spec = users.parse_submission(submission("wk-000001", kit="one", imageGb=3.0))
+    p = book.place(book.add(spec, 100, now), 0, busy.id, now)
+    fleet.occupy(busy, p)
+    other = users.parse_submission(submission("wk-000002", kit="two", imageGb=2.0))
+    assert rules.preference(other, busy) > rules.preference(other, idle)
+    assert rules.preference(spec, busy) < rules.preference(spec, idle), "one fetch serves both"
+    fleet.note_image(busy, "two", 2.0)
+    assert rules.preference(other, busy) < rules.preference(other, idle)
+
+
 # -- health
 
 
