Tests: copies with the present epoch, names per start, three guards that no test missed before

Each guard of the added rules was taken out in turn: three tests still passed (adoption of an unknown machine, the start in the leader's record, an unanswered report that looks as before). They now fail without it.

--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -150,3 +150,21 @@
     value = {"path": "lead", "v": {"node": "n0", "life": "old"}, "stamp": 9, "tether": 4}
     e.read(parse_item(orjson.dumps(value)), now)
     assert e.role is Role.FOLLOWER and e.next_action(now) == DropHold(LeaseId(4))
+
+
+@pytest.mark.parametrize(("life", "role"), [("new", Role.LEADER), ("old", Role.FOLLOWER)])
+def test_own_hold_under_another_start_does_not_make_a_leader(life: str, role: Role) -> None:
+    e = Election(NodeId("n0"), HOLD_S, 0.02, LifeId("new"))
+    now = Steady(0.0)
+    e.next_action(now)
+    e.read(None, now)
+    e.next_action(now)
+    e.opened(LeaseId(4), now)
+    claim = e.next_action(now)
+    assert isinstance(claim, Claim)
+    e.failed(claim, now)
+    later = Steady(0.5)
+    e.next_action(later)
+    value = {"path": "lead", "v": {"node": "n0", "life": life}, "stamp": 9, "tether": 4}
+    e.read(parse_item(orjson.dumps(value)), later)
+    assert e.role is role
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,11 +2,24 @@
 
 from typing import Any
 
+import orjson
 import pytest
 
+from eldercart.core.controller import GetCatalog, Rent
 from eldercart.core.relay import Answer, Forward, Overtaken, Redirect, Relay, Share, shares
-from eldercart.units import Epoch, JobId, MachineId, NodeId, ReportOrder, Session, Steady
+from eldercart.units import (
+    Epoch,
+    JobId,
+    LifeId,
+    MachineId,
+    NodeId,
+    ReportOrder,
+    Session,
+    Steady,
+)
+from eldercart.wire import workers
 from relayworld import RelayWorld
+from standins import CATALOG
 from test_core import finish, submit_all
 
 M = MachineId("n-1")
@@ -73,6 +86,7 @@
     assert report(r, 3, tasks=[1]) == Forward(), "the answer to the last one never came"
     r.answered(M, order(2), False, [1], False)  # it comes now, for a report that is overtaken
     assert report(r, 4, tasks=[1]) == Forward()
+    assert report(r, 5) == Forward(), "as it was before: the leader may have taken the other"
 
 
 def test_wanted_machine_is_heard_by_the_leader() -> None:
@@ -238,14 +252,20 @@
     w.elect()
     c = w.controller
     assert c is not None
-    from eldercart.wire import workers
-
     known = c.fleet.get(MachineId(ghost.id))
     heard = None if known is None else known.last_heard
     assert c.on_report(workers.parse_report(copy), Steady(w.now)) == []
     now_known = c.fleet.get(MachineId(ghost.id))
     assert (now_known is None) == (known is None)
     assert now_known is None or now_known.last_heard == heard, "a copy renews no liveness"
+    # One that no record names: it had nothing to do when it was deleted.
+    stranger = workers.parse_report(copy | {"wagon": "n-999999", "parcels": []})
+    assert c.on_report(stranger, Steady(w.now)) == []
+    assert c.fleet.get(MachineId("n-999999")) is None
+    alive = workers.parse_report(copy | {"wagon": "n-999998", "parcels": [], "whip": c.epoch})
+    assert c.on_report(alive, Steady(w.now)) == []
+    assert c.fleet.get(MachineId("n-999998")) is not None, "it has seen this epoch, so it lives"
+    c.fleet.remove(c.fleet.machines[MachineId("n-999998")])
     finish(w)
     assert w.told[JobId("wk-000001")] == "done"
 
@@ -274,3 +294,50 @@
                 c.shown(machine, Steady(w.now))
     assert asked > 2
     assert (m.id in c.floor.doomed) is deleted
+
+
+def test_copy_with_the_present_epoch_is_overtaken_by_what_a_relay_answered() -> None:
+    """The relay answered newer reports by itself and said so; the copy reaches another node, which
+    takes it for news, and the leader."""
+    w = RelayWorld(7, capacity=2)
+    w.submit("wk-000001", run_s=60.0, parcels=4)
+    w.run(16)
+    c = w.controller
+    assert c is not None
+    sim = next(m for m in w.cloud.machines.values() if m.on())
+    m = c.fleet.get(MachineId(sim.id))
+    assert m is not None and sim.epoch == c.epoch
+    copy = workers.parse_report(sim.report())
+    newer = ReportOrder(copy.order.session, copy.order.sequence + 3)
+    now = Steady(w.now)
+    c.heard(NodeId("n1"), ((m.id, newer),), now)
+    assert m.order == newer
+    placed, heard = dict(m.placed), m.last_heard
+    assert c.on_report(copy, Steady(w.now + 30.0), NodeId("n2")) is None
+    assert (m.placed, m.last_heard, m.relay) == (placed, heard, NodeId("n1"))
+    c.heard(NodeId("n2"), ((m.id, copy.order),), Steady(w.now + 30.0))
+    assert (m.last_heard, m.relay) == (heard, NodeId("n1")), "an old word renews nothing"
+
+
+def test_request_names_carry_the_start() -> None:
+    """A node that is back at once may lead under its label again; a name is never used twice, or
+    the cloud would answer with the machines of the old request."""
+    names = []
+    for life in ("aaaa", "bbbb"):
+        w = RelayWorld(8)
+        w.life = LifeId(life)
+        w.elect()
+        w.submit("wk-000001")
+        c = w.controller
+        assert c is not None
+        for _ in range(100):
+            w.now += 0.1
+            c.tick(Steady(w.now))
+            call = c.next_cloud(Steady(w.now))
+            if isinstance(call, Rent):
+                names.append(call.hire.request)
+                break
+            if call is not None:
+                body = CATALOG if isinstance(call, GetCatalog) else w.cloud.list(w.now)
+                c.cloud_done(call, 200, orjson.dumps(body), Steady(w.now))
+    assert len(names) == 2 and "aaaa" in names[0] and "bbbb" in names[1]
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,7 +12,7 @@
 from eldercart.election import LEAD_KEY
 from eldercart.settings import load_tuning
 from eldercart.settings.platform import parse_platform
-from eldercart.units import ABSENT, Epoch, Revision, Steady, WallTime
+from eldercart.units import ABSENT, ONLY_LIFE, Epoch, Revision, Steady, WallTime
 from eldercart.wire import cloud, state, users, workers
 from standins import CATALOG, CloudSim, StoreSim, WorkerSim
 
@@ -61,6 +61,7 @@
         self.reports_due: dict[str, float] = {}
         self.started: set[tuple[str, int, str]] = set()
         self.outage_until = -1.0
+        self.life = ONLY_LIFE
         self.controller: Controller | None = None
         self.elect()
 
@@ -78,7 +79,7 @@
         now = Steady(self.now)
         c = Controller(
             self.settings, self.tuning, Epoch(answer["ledgerRev"]), cloud.parse_catalog(CATALOG),
-            now, WallTime(self.now),
+            now, WallTime(self.now), self.life,
         )  # fmt: skip
 
         def items(prefix: str) -> list[state.Item]:
