Keep to an outage: a task proven gone made the leader plan again

Cause: a line that belongs to the start of a leadership stood in the step that voids a placement, too, so each task lost in an outage of the store let planning resume until the next refused write. Test fails with the line.

--- a/src/eldercart/core/floor.py
+++ b/src/eldercart/core/floor.py
@@ -61,7 +61,6 @@
         self.jobs.drop(p, now, again=True)
         self.dirty[p.job.id] = p.job
         self.plan_wanted = True
-        self.outage = False  # the last write was not carried out
 
     def stop(self, p: Placement, now: Steady) -> None:
         m = self.fleet.get(p.machine)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -292,3 +292,24 @@
     assert after.floor.predictor.paces() == before.floor.predictor.paces() != {}
     after.floor.predictor.recall_paces({})
     memory.recall(after.floor, "memo/images/0", {"n": ["a"], "g": [], "m": {"n-1": [3]}})
+
+
+def test_task_that_is_lost_in_an_outage_does_not_resume_planning() -> None:
+    """Seen on reading: each task proven gone made the leader forget that nothing can be written,
+    and plan anew what could only be taken back."""
+    w = World(19, capacity=2)
+    w.submit("wk-000001", run_s=30.0, parcels=40)
+    w.run(14)
+    w.outage_until = w.now + 30
+    c = w.controller
+    assert c is not None
+    c.floor.dirty.update(c.jobs.jobs)
+    for job in c.jobs.jobs.values():
+        for chunk in job.chunks.values():
+            c.jobs.touch(job, chunk, Steady(w.now), urgent=True)
+    w.run(1)
+    assert c.floor.outage
+    c.floor.void(
+        next(p for m in c.fleet.machines.values() for p in m.queue.values()), Steady(w.now)
+    )
+    assert not c.plan_due(Steady(w.now + 5.0))
