--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -98,7 +98,7 @@
         self.queued = 0  # tasks written ahead of free room
         self.cancelled = False  # asked for; durable once `ended` is set
         self.begun = False  # a task of it has run, here or under an earlier leader
-        self.aged = False  # has waited so long that it goes ahead, see `placement.order_jobs`
+        self.aged = False  # has waited so long that it goes ahead, see `planner.Planner`
         self.end_sent = False  # its end may be in the store, and may be told elsewhere
         self.end_unsure = False  # a write of it may still be applied late
         self.shy = False  # lost work to the cloud: what is started again prefers ordinary machines
--- a/src/eldercart/core/planner.py
+++ b/src/eldercart/core/planner.py
@@ -235,10 +235,7 @@
             return
         share = self.f.tuning.ahead_share
         if self._ahead is None:
-            least = self.least
-            self._ahead = [
-                m for m in self.machines if m.type.cpus * share - m.queued_cpus + EPS >= least
-            ]
+            self._ahead = self._with_room_ahead(self.machines)
         candidates = []
         for m in self.machines if aged else self._ahead:
             room = m.type.cpus * share - m.queued_cpus
@@ -258,8 +255,11 @@
                 break
             left -= take
             self._enqueue(job, m, take, aged)
-        least = self.least
-        self._ahead = [m for m in self._ahead if m.type.cpus * share - m.queued_cpus + EPS >= least]
+        self._ahead = self._with_room_ahead(self._ahead)
+
+    def _with_room_ahead(self, machines: list[Machine]) -> list[Machine]:
+        share, least = self.f.tuning.ahead_share, self.least
+        return [m for m in machines if m.type.cpus * share - m.queued_cpus + EPS >= least]
 
     def _enqueue(self, job: Job, m: Machine, number: int, kept: bool = False) -> None:
         f = self.f
--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -29,7 +29,7 @@
 
 WRITE_PAUSE_S = 0.25  # after a write that was not carried out
 TXN_BYTES = 56 * 1024  # the limit is 64 KiB; keys, guards and names take the rest
-ANY_JOBS = 1000
+ANY_JOBS = 1000  # more than a transaction holds
 ASIDE_S = 20.0  # for which a job is left alone whose record the store refuses for what it is
 
 
--- a/src/eldercart/net/leading.py
+++ b/src/eldercart/net/leading.py
@@ -25,6 +25,7 @@
 from eldercart.election import LEAD_KEY, Role
 from eldercart.net.buckets import Bucket
 from eldercart.net.client import HttpClient, WorkerClient
+from eldercart.net.soon import Soon
 from eldercart.net.store import FOR_ENDS, FOR_MEMORY, FOR_PLACING
 from eldercart.units import Epoch, JobId, MachineId, NodeId, ReportOrder, Revision, Steady, WallTime
 from eldercart.wire import Malformed, cloud, peers, users, workers
@@ -41,6 +42,14 @@
 CATALOG_KEY = "catalog"
 CANCEL_WAIT_S = 1.5
 UNHEARD_S = 5.0  # without a word from any peer or worker, after which a leader hands over
+OUTCOMES = {
+    200: Outcome.OK,
+    400: Outcome.MALFORMED,
+    409: Outcome.CONFLICT,
+    413: Outcome.MALFORMED,
+    429: Outcome.REFUSED,
+    503: Outcome.REFUSED,
+}  # any other status, or none: unknown
 PUMP_S = 0.02  # in which events gather before what follows from them is looked for
 
 
@@ -57,7 +66,7 @@
         self._workers = WorkerClient(max(4, s.sockets // 20))
         rate = 0.9 * s.cloud_rps
         self._cloud_tokens = Bucket(rate, max(1.0, rate), node.clock())
-        self._pump_set = False
+        self.pump_soon = Soon(PUMP_S, self.pump)
         self._began = node.clock()
         self.heard_at = node.clock()  # when a worker reported last, here or to a relay
 
@@ -196,15 +205,6 @@
 
     # -- what follows from events
 
-    def pump_soon(self) -> None:
-        if not self._pump_set:
-            self._pump_set = True
-            reactor.callLater(PUMP_S, self._pump_now)
-
-    def _pump_now(self) -> None:
-        self._pump_set = False
-        self.pump()
-
     def pump(self) -> None:
         c = self.controller
         if c is None:
@@ -273,19 +273,9 @@
         def done(status: int | None, revision: Revision, failed: tuple[str, ...]) -> None:
             if life != self._life:
                 return
-            if status == 200:
-                outcome = Outcome.OK
-            elif status == 409:
-                outcome = Outcome.CONFLICT
-            elif status in (429, 503):
-                outcome = Outcome.REFUSED
-            elif status in (400, 413):
+            outcome = Outcome.UNKNOWN if status is None else OUTCOMES.get(status, Outcome.UNKNOWN)
+            if status is not None and outcome in (Outcome.MALFORMED, Outcome.UNKNOWN):
                 log.error("transaction answered %d: %s", status, pending.txn.body()[:300])
-                outcome = Outcome.MALFORMED
-            else:
-                if status is not None:
-                    log.error("transaction answered %d: %s", status, pending.txn.body()[:300])
-                outcome = Outcome.UNKNOWN
             at = self.node.clock()
             self.node.meters.add("write", at - now)
             if c.txn_done(pending, outcome, revision, failed, at):
--- a/src/eldercart/net/relaying.py
+++ b/src/eldercart/net/relaying.py
@@ -6,11 +6,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet import reactor as _reactor
-
 from eldercart.core.relay import Answer, Forward, Redirect, Relay, Share, shares
 from eldercart.net.links import Channel, Exchange, Link
 from eldercart.net.server import JsonRequest
+from eldercart.net.soon import Soon
 from eldercart.units import Epoch, JobId, MachineId, NodeId, ReportOrder, Session, Steady
 from eldercart.wire import Malformed, peers, users, workers
 from eldercart.wire.checks import count, load_object, text
@@ -18,7 +17,6 @@
 if TYPE_CHECKING:
     from eldercart.net.node import Node
 
-reactor: Any = _reactor
 log = logging.getLogger("eldercart.node")
 
 FLUSH_S = 0.015  # in which reports and polls gather to a batch
@@ -69,7 +67,7 @@
         self._questions: dict[int, Question] = {}
         self._reports: list[tuple[int, bytes]] = []
         self._polls: list[tuple[int, str]] = []
-        self._flush_set = False
+        self._flush_soon = Soon(FLUSH_S, self._flush)
         self._timeouts_due = Steady(0)
         self._shares: dict[NodeId, Share] = {}
 
@@ -156,7 +154,7 @@
             self._refuse(request, err)
             return
         notice = obj.get("recallS") is not None
-        link = self._leader_link()
+        link = self._link_to(self.relay.leader)
         reachable = node.leading.acts or link is not None
         decision = self.relay.report(machine, order, epoch, notice, tasks, now, reachable)
         match decision:
@@ -210,22 +208,16 @@
 
     # -- towards the leader
 
-    def _leader_link(self) -> Link | None:
-        """The connection to the leader under whose grant this node acts."""
-        leader = self.relay.leader
-        link = self.links.get(leader) if leader is not None else None
+    def _link_to(self, label: NodeId | None) -> Link | None:
+        """The connection to that node, if it stands. Reports go to the leader under whose grant
+        this node acts, questions to the one that the election knows."""
+        link = None if label is None else self.links.get(label)
         return link if link is not None and link.up else None
 
-    def _flush_soon(self) -> None:
-        if not self._flush_set:
-            self._flush_set = True
-            reactor.callLater(FLUSH_S, self._flush)
-
     def _flush(self) -> None:
-        self._flush_set = False
         reports, self._reports = self._reports, []
         polls, self._polls = self._polls, []
-        link = self._leader_link()
+        link = self._link_to(self.relay.leader)
         if reports and (link is None or not link.send(peers.reports(self.relay.epoch, reports))):
             now = self.node.clock()
             for number, _ in reports:
@@ -233,7 +225,7 @@
                 if held is not None:
                     self._give_up(held, now)
         if polls:
-            ask = self.links.get(self.node.election.leader or NodeId(""))
+            ask = self._link_to(self.node.election.leader)
             if ask is None or not ask.send(peers.polls(polls)):
                 for number, _ in polls:
                     question = self._questions.pop(number, None)
@@ -253,8 +245,8 @@
         return link is not None and link.send(peers.cancel(self._number, job))
 
     def _ask(self, answer: Callable[[peers.Told | None], None], wait_s: float) -> Link | None:
-        link = self.links.get(self.node.election.leader or NodeId(""))
-        if link is None or not link.up:
+        link = self._link_to(self.node.election.leader)
+        if link is None:
             return None
         self._number += 1
         until = Steady(self.node.clock() + wait_s)
@@ -301,12 +293,16 @@
         else:
             raise Malformed("k")
 
-    def _greeted(self, link: Link, g: peers.Greeted, now: Steady) -> None:
-        asked = link.asked.pop(g.number, None)
+    def _heard_peer(self, epoch: Epoch, store_ok: bool, now: Steady) -> None:
+        """What a greeting and its answer tell alike."""
         self.peer_heard = now
-        if g.store_ok:
+        if store_ok:
             self.peer_served = now
-        self.node.saw_epoch(g.epoch, "a peer knows a higher epoch")
+        self.node.saw_epoch(epoch, "a peer knows a higher epoch")
+
+    def _greeted(self, link: Link, g: peers.Greeted, now: Steady) -> None:
+        asked = link.asked.pop(g.number, None)
+        self._heard_peer(g.epoch, g.store_ok, now)
         if g.lent:
             self.node.store.lent(g.lent, now)
         if g.leads and asked is not None:
@@ -347,11 +343,8 @@
         node = self.node
         channel.peer = g.sender
         self._channels[g.sender] = channel
-        self.peer_heard = now
-        if g.store_ok:
-            self.peer_served = now
+        self._heard_peer(g.epoch, g.store_ok, now)
         self.peer_counts[g.sender] = (g.machines, now)
-        node.saw_epoch(g.epoch, "a peer knows a higher epoch")
         acts = node.leading.acts
         if acts:
             node.leading.heard(g.sender, g.heard, now)
