--- /dev/null
+++ b/src/eldercart/core/cloudwork.py
@@ -0,0 +1,247 @@
+"""What the leader asks of the cloud: machines, deletions, the list, the catalogue."""
+
+import logging
+from dataclasses import dataclass
+
+from eldercart.core import placement as rules
+from eldercart.core.fleet import Life
+from eldercart.core.floor import Floor
+from eldercart.core.jobs import Phase
+from eldercart.core.rental import Hire
+from eldercart.units import MachineId, Steady
+from eldercart.wire import Malformed, cloud
+from eldercart.wire.checks import load_answer
+from eldercart.wire.cloud import MachineType
+
+log = logging.getLogger("eldercart.controller")
+
+RENTALS = 3  # requests for machines under way at once
+
+
+@dataclass(frozen=True, slots=True)
+class Rent:
+    hire: Hire
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    machines: tuple[MachineId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ListPage:
+    after: MachineId | None
+
+
+@dataclass(frozen=True, slots=True)
+class GetCatalog:
+    pass
+
+
+CloudCall = Rent | Delete | ListPage | GetCatalog
+
+
+def no_capacity(body: bytes) -> bool:
+    return b"no capacity" in body
+
+
+def unknown_type(name: str) -> MachineType:
+    """Stands for a type the catalogue does not hold: nothing is placed there."""
+    return MachineType(name, 0.0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0, 60.0, ())
+
+
+class CloudWork:
+    """Owns the calls under way and those that wait."""
+
+    def __init__(self, floor: Floor, prefix: str) -> None:
+        self.f = floor
+        self.catalog_changed = False
+        self._prefix = prefix  # of request names: no other start of any node has it
+        self._busy: set[str] = set()
+        self._renting = 0
+        self._pause = Steady(-1e9)
+        self._hires: list[Hire] = []
+        self._list_due = floor.began
+        self._list_after: MachineId | None = None
+        self._list_seen = False
+        self._catalog_due = floor.began
+
+    # -- what to rent and to return
+
+    def rent(self, now: Steady) -> None:
+        f = self.f
+        if not f.types:
+            return
+        self._prepare(now)
+        f.rental.measure(f.jobs.jobs.values(), f.predictor.booked(), now)
+        machines = f.fleet.machines.values()
+        # After a take-over the fleet is not known yet: renting now would double it.
+        if now - f.began > 2 * f.settings.list_lag_s or self._list_seen:
+            choosy = [
+                j
+                for j in f.jobs.jobs.values()
+                if (j.pending or j.queued) and j.open
+                if j.spec.zone is not None
+                or not all(rules.fits_type(j.spec, kind) for kind in f.types.values())
+            ]
+            self._hires += f.rental.plan(machines, f.types, choosy, self._prefix, now)
+        for m in f.rental.surplus(machines, now):
+            log.info("machine returned machine=%s idle=%.0f", m.id, now - m.idle_since)
+            f.doom(m, now)
+
+    def _prepare(self, now: Steady) -> None:
+        """Soft bookings for the successors of jobs that end within about one boot."""
+        f = self.f
+        f.predictor.expire(now)
+        boot = min(kind.boot_s for kind in f.types.values())
+        fleet = sum(m.type.cpus for m in f.fleet.machines.values() if m.life is Life.UP)
+        used = sum(f.fleet.team_cpus.values()) + f.predictor.booked()[1]
+        load = used / fleet if fleet else 0.0
+        for job in f.jobs.jobs.values():
+            if not job.open or job.pending or job.queued:
+                continue
+            run = f.predictor.run_s(job)
+            left = 0.0
+            for p in job.placements():
+                if p.phase is not Phase.ENDED:
+                    left = max(left, run - p.ran(now))
+                    if left > boot:
+                        break
+            f.predictor.prepare(job, left, boot, load, now)
+
+    # -- calls
+
+    def next_call(self, now: Steady) -> CloudCall | None:
+        """The next call; deletions first, since proof of an empty place hangs on them."""
+        if now < self._pause:
+            return None
+        f = self.f
+        if f.doomed and "delete" not in self._busy:
+            self._busy.add("delete")
+            return Delete(tuple(f.doomed)[: cloud.MAX_DELETE])
+        if (not f.types or now >= self._catalog_due) and "catalog" not in self._busy:
+            self._busy.add("catalog")
+            return GetCatalog()
+        if self._hires and self._renting < RENTALS:
+            self._renting += 1
+            hire = self._hires.pop(0)
+            if not hire.sent:
+                hire.sent = now
+            return Rent(hire)
+        if now >= self._list_due and "list" not in self._busy:
+            self._busy.add("list")
+            return ListPage(self._list_after)
+        return None
+
+    def done(self, call: CloudCall, status: int | None, body: bytes, now: Steady) -> None:
+        """`status` None: no answer. A malformed answer counts as none."""
+        try:
+            self._answer(call, status, body, now)
+        except Malformed as err:
+            log.error("cloud answer malformed call=%s: %s", type(call).__name__, err)
+            self._answer(call, None, b"", now)
+
+    def _answer(self, call: CloudCall, status: int | None, body: bytes, now: Steady) -> None:
+        trouble = status is None or status == 429 or (status >= 500 and not no_capacity(body))
+        if trouble:
+            self._pause = Steady(now + 1.0)
+        match call:
+            case Delete(machines):
+                if status == 200:
+                    for machine in machines:
+                        self._deleted(machine, now)
+                self._busy.discard("delete")
+            case Rent(hire):
+                self._rented(hire, status, body, now)
+                self._renting -= 1
+            case ListPage():
+                if status == 200:
+                    listed, more = cloud.parse_list(body)
+                    self._listed(listed, now)
+                    self._list_after = listed[-1].id if more and listed else None
+                    if not more:
+                        self._list_seen = True
+                if status != 200 or self._list_after is None:
+                    pause = max(1.0, self.f.settings.list_lag_s)
+                    self._list_due = Steady(now + pause)
+                self._busy.discard("list")
+            case GetCatalog():
+                if status == 200:
+                    self._new_catalog(cloud.parse_catalog(load_answer(body)), now)
+                    self._catalog_due = Steady(now + 60.0)
+                self._busy.discard("catalog")
+
+    def _new_catalog(self, types: dict[str, MachineType], now: Steady) -> None:
+        f = self.f
+        if types != f.types:
+            self.catalog_changed = True
+        first = not f.types
+        f.types = types
+        for m in f.fleet.machines.values():
+            kind = types.get(m.type.name)
+            if kind is not None and kind is not m.type:
+                f.fleet.describe(m, kind, m.zone, m.spot)
+        if first:
+            f.plan_wanted = True
+            f.rental_due = now
+
+    def _deleted(self, machine: MachineId, now: Steady) -> None:
+        f = self.f
+        f.doomed.pop(machine, None)
+        m = f.fleet.get(machine)
+        if m is None:
+            return
+        placed = [*m.placed.values(), *m.queue.values()]
+        log.info("machine gone machine=%s tasks=%d", machine, len(placed))
+        for p in placed:
+            f.void(p, now)
+        f.fleet.remove(m)
+
+    def _rented(self, hire: Hire, status: int | None, body: bytes, now: Steady) -> None:
+        f, offer = self.f, hire.offer
+        if status == 200:
+            machines = cloud.parse_rented(body)
+            f.rental.hires.pop(hire.request, None)
+            for machine in machines:
+                if f.fleet.get(machine) is None and not f.fleet.is_gone(machine):
+                    kind = f.types[offer.type]
+                    f.fleet.add(machine, kind, offer.zone, offer.spot, Life.BOOTING, hire.sent, now)
+            log.info(
+                "rented type=%s zone=%s spot=%s asked=%d got=%d request=%s",
+                offer.type, offer.zone, offer.spot, hire.number, len(machines), hire.request,
+            )  # fmt: skip
+            if len(machines) < hire.number:
+                f.rental.refuse(offer, now)
+            f.rental_due = now
+        elif status == 503 and no_capacity(body):
+            f.rental.hires.pop(hire.request, None)
+            f.rental.refuse(offer, now)
+            f.rental_due = now
+            log.info("refused type=%s zone=%s spot=%s", offer.type, offer.zone, offer.spot)
+        elif status == 400:
+            f.rental.hires.pop(hire.request, None)
+            f.rental.refuse(offer, now)
+            log.error("rental malformed request=%s", hire.request)
+        else:
+            # Nobody knows whether it was carried out: the same name gets the same answer.
+            self._hires.append(hire)
+
+    def _listed(self, listed: list[cloud.ListedMachine], now: Steady) -> None:
+        f = self.f
+        for item in listed:
+            if f.fleet.is_gone(item.id):
+                continue
+            m = f.fleet.get(item.id)
+            if m is None:
+                kind = f.types.get(item.type) or unknown_type(item.type)
+                hired = Steady(now - item.age_s)
+                life = Life.UP if item.state == cloud.UP else Life.BOOTING
+                # It may report to another node, or be new: it gets a full patience.
+                heard = Steady(now + f.tuning.takeover_grace_s)
+                m = f.fleet.add(item.id, kind, item.zone, item.spot, life, hired, heard)
+                log.debug("machine listed machine=%s state=%s", m.id, item.state)
+            if item.address and not m.address:
+                m.address = item.address
+            if item.state == cloud.FAILED and m.life is not Life.LEAVING:
+                log.info("machine failed machine=%s", m.id)
+                f.doom(m, now)
--- a/src/eldercart/core/fleet.py
+++ b/src/eldercart/core/fleet.py
@@ -1,13 +1,26 @@
-"""The machines, what may run on each, and what their reports prove."""
+"""The machines, what may run on each, and what their reports prove.
+
+The sums over machines are kept as tasks come and go, not added up again: a pass over everything at
+each report or plan is what a leader of hundreds of machines has no time for.
+"""
 
 from dataclasses import dataclass, field
 from enum import IntEnum
 
 from eldercart.core.jobs import Phase, Placement
-from eldercart.units import NO_REPORT, MachineId, ReportOrder, Steady, TaskKey
+from eldercart.units import (
+    NO_REPORT,
+    MachineId,
+    NodeId,
+    ReportOrder,
+    Steady,
+    TaskKey,
+)
 from eldercart.wire.cloud import MachineType
 from eldercart.wire.users import JobSpec
 
+EPS = 1e-6
+
 
 class Life(IntEnum):
     BOOTING = 0
@@ -26,10 +39,13 @@
     hired: Steady
     last_heard: Steady
     address: str = ""
+    relay: NodeId | None = None  # the node that heard it last
     order: ReportOrder = NO_REPORT
     confirmed: bool = False  # has reported under this leader's epoch
     placed: dict[TaskKey, Placement] = field(default_factory=dict)
     queue: dict[TaskKey, Placement] = field(default_factory=dict)  # written ahead, never sent
+    queued_cpus: float = 0.0
+    live: int = 0  # placed and not ended
     foreign: bool = False  # reports live tasks that no record knows
     free_cpus: float = 0.0
     free_gpus: float = 0.0
@@ -37,6 +53,10 @@
     held_cpus: float = 0.0  # of the free room, what this pass keeps for jobs placed before
     held_gpus: float = 0.0
     held_memory: float = 0.0
+    leaving_cpus: float = 0.0  # taken by tasks that are being stopped
+    leaving_gpus: float = 0.0
+    leaving_memory: float = 0.0
+    by_priority: dict[int, float] = field(default_factory=dict)  # CPUs placed, not being stopped
     idle_since: Steady = Steady(0)
     draining: bool = False  # notice or quarantine: nothing new starts here
     quarantined: bool = False
@@ -46,24 +66,33 @@
     paces: list[tuple[str, float]] = field(default_factory=list)  # run time / the job's median
     good_since_fault: int = 0
     refuse_until: Steady = Steady(-1e9)
+    # Whether it does what it is told; see `health.Obedience`.
+    unheeded: int = 0
+    told_since: Steady = Steady(0)
+    old_epoch: int = 0  # reports that showed an older epoch although one was answered
+    undelivered: bool = False  # the last answer surely came too late
+    # Whether it was asked directly, because nothing was heard of it, and answered.
+    probed: Steady = Steady(-1e9)
+    shown: Steady = Steady(-1e9)
+    wanted: bool = False
 
     @property
     def usable(self) -> bool:
         return self.life is Life.UP and self.confirmed and not self.draining and not self.foreign
 
-    @property
-    def live(self) -> int:
-        return sum(1 for p in self.placed.values() if p.phase is not Phase.ENDED)
-
 
 class Fleet:
     """Owns the machines. Room counts everything that may still run."""
 
     def __init__(self) -> None:
         self.machines: dict[MachineId, Machine] = {}
-        self._gone: dict[MachineId, None] = {}  # a late list may still name them
+        self._gone: dict[MachineId, None] = {}  # a late list or report may still name them
         self.team_cpus: dict[str, float] = {}
         self.team_gpus: dict[str, float] = {}
+        self.used: dict[int, float] = {}  # CPUs placed, by priority
+        self.ordinary_used = 0.0  # CPUs of jobs that may use nothing else, on ordinary machines
+        self.queues: dict[MachineId, Machine] = {}  # machines with tasks written ahead
+        self._held: list[Machine] = []
 
     def get(self, machine: MachineId) -> Machine | None:
         return self.machines.get(machine)
@@ -80,37 +109,93 @@
         self.machines[id_] = m
         return m
 
+    def describe(self, m: Machine, type_: MachineType, zone: str, spot: bool) -> None:
+        """The report, or a new catalogue, knows better what the machine is."""
+        m.free_cpus += type_.cpus - m.type.cpus
+        m.free_gpus += type_.gpus - m.type.gpus
+        m.free_memory += type_.memory_gb - m.type.memory_gb
+        if spot is not m.spot:
+            bound = sum(
+                p.job.spec.cpus
+                for p in m.placed.values()
+                if p.phase is not Phase.ENDED and not p.job.spec.spot
+            )
+            self.ordinary_used += -bound if spot else bound
+        m.type, m.zone, m.spot = type_, zone, spot
+
     def occupy(self, m: Machine, p: Placement) -> None:
         spec = p.job.spec
         m.placed[p.key] = p
+        m.live += 1
         m.free_cpus -= spec.cpus
         m.free_gpus -= spec.gpus
         m.free_memory -= spec.memory_gb
+        if p.stopping:
+            self._leave(m, spec, 1)
+        else:
+            m.by_priority[spec.priority] = m.by_priority.get(spec.priority, 0.0) + spec.cpus
+        self.used[spec.priority] = self.used.get(spec.priority, 0.0) + spec.cpus
         self.team_cpus[spec.team] = self.team_cpus.get(spec.team, 0.0) + spec.cpus
         self.team_gpus[spec.team] = self.team_gpus.get(spec.team, 0.0) + spec.gpus
+        if not spec.spot and not m.spot:
+            self.ordinary_used += spec.cpus
 
     def release(self, m: Machine, p: Placement, now: Steady) -> None:
         """The task no longer takes room; it may still be listed as ended."""
         spec = p.job.spec
+        m.live -= 1
         m.free_cpus += spec.cpus
         m.free_gpus += spec.gpus
         m.free_memory += spec.memory_gb
+        if p.stopping:
+            self._leave(m, spec, -1)
+        else:
+            m.by_priority[spec.priority] -= spec.cpus
+        self.used[spec.priority] -= spec.cpus
         self.team_cpus[spec.team] -= spec.cpus
         self.team_gpus[spec.team] -= spec.gpus
+        if not spec.spot and not m.spot:
+            self.ordinary_used -= spec.cpus
         m.idle_since = now
 
+    def stopping(self, m: Machine | None, p: Placement, now: Steady) -> None:
+        """The task was told to stop, or is about to be."""
+        if p.stopping:
+            return
+        p.stopping = True
+        p.stop_since = now
+        if m is not None and m.placed.get(p.key) is p and p.phase is not Phase.ENDED:
+            spec = p.job.spec
+            self._leave(m, spec, 1)
+            m.by_priority[spec.priority] -= spec.cpus
+
+    def _leave(self, m: Machine, spec: JobSpec, sign: int) -> None:
+        m.leaving_cpus += sign * spec.cpus
+        m.leaving_gpus += sign * spec.gpus
+        m.leaving_memory += sign * spec.memory_gb
+
     def enqueue(self, m: Machine, p: Placement) -> None:
         """Written ahead for room to come: launched by the report that shows the room."""
         m.queue[p.key] = p
+        m.queued_cpus += p.job.spec.cpus
+        self.queues[m.id] = m
 
     def dequeue(self, m: Machine, p: Placement) -> None:
-        m.queue.pop(p.key, None)
+        if m.queue.pop(p.key, None) is None:
+            return
+        m.queued_cpus -= p.job.spec.cpus
+        if not m.queue:
+            m.queued_cpus = 0.0
+            self.queues.pop(m.id, None)
 
     def clear_holds(self) -> None:
-        for m in self.machines.values():
+        for m in self._held:
             m.held_cpus = m.held_gpus = m.held_memory = 0.0
+        self._held.clear()
 
     def hold(self, m: Machine, spec: JobSpec, number: int) -> None:
+        if not m.held_cpus and not m.held_memory and not m.held_gpus:
+            self._held.append(m)
         m.held_cpus += spec.cpus * number
         m.held_gpus += spec.gpus * number
         m.held_memory += spec.memory_gb * number
@@ -123,6 +208,7 @@
         """The cloud said 200 to its deletion: whatever was there is gone."""
         m.life = Life.GONE
         self.machines.pop(m.id, None)
+        self.queues.pop(m.id, None)
         self._gone[m.id] = None
         while len(self._gone) > 5000:
             del self._gone[next(iter(self._gone))]
--- /dev/null
+++ b/src/eldercart/core/floor.py
@@ -0,0 +1,110 @@
+"""What the parts of the leader's state machine work on together, and the few steps that all need.
+
+The books (jobs, fleet, rental, predictor) each own their data; the floor names what is due next.
+"""
+
+import logging
+
+from eldercart.core.fleet import Fleet, Life, Machine
+from eldercart.core.health import Health, Obedience
+from eldercart.core.jobs import Job, JobBook, Phase, Placement
+from eldercart.core.placement import Promises
+from eldercart.core.prediction import Predictor
+from eldercart.core.rental import Rental
+from eldercart.settings import NodeSettings, Tuning
+from eldercart.units import Epoch, JobId, MachineId, NodeId, Steady
+from eldercart.wire.cloud import MachineType
+
+log = logging.getLogger("eldercart.controller")
+
+
+class Floor:
+    def __init__(
+        self, settings: NodeSettings, tuning: Tuning, epoch: Epoch, types: dict[str, MachineType],
+        now: Steady,
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.tuning = tuning
+        self.epoch = epoch
+        self.types = types
+        self.jobs = JobBook(0)
+        self.fleet = Fleet()
+        self.promises = Promises(settings.waits, settings.finishes)
+        self.rental = Rental(tuning, settings.teams)
+        self.predictor = Predictor(tuning)
+        self.health = Health(tuning.quarantine_jobs, tuning.error_backoff_s)
+        self.obedience = Obedience(tuning.unheeded_answers, settings.lease_s / 2)
+        self.began = now
+        self.plan_wanted = True
+        self.rental_due = now
+        self.dirty: dict[JobId, Job] = {}
+        self.ending: dict[JobId, Job] = {}  # complete or cancelled, end not yet durable
+        self.doomed: dict[MachineId, None] = {}
+        self.work_done = self.work_lost = 0.0  # CPU seconds, as seen here
+        self.start_waits: list[float] = []  # seconds from submission, of tasks that began
+        self._wants: dict[MachineId, Machine] = {}
+
+    def void(self, p: Placement, now: Steady) -> None:
+        """The task is proven not to be on its machine."""
+        m = self.fleet.get(p.machine)
+        if m is not None:
+            if p.queued:
+                self.jobs.unmark_queued(p)
+                self.fleet.dequeue(m, p)
+            elif p.phase is not Phase.ENDED:
+                self.fleet.release(m, p, now)
+            self.fleet.forget(m, p)
+        if p.phase is Phase.ENDED:
+            return  # done; only the record is outstanding
+        self.work_lost += p.ran(now) * p.job.spec.cpus
+        self.jobs.drop(p, now, again=True)
+        self.dirty[p.job.id] = p.job
+        self.plan_wanted = True
+
+    def stop(self, p: Placement, now: Steady) -> None:
+        m = self.fleet.get(p.machine)
+        self.fleet.stopping(m, p, now)
+        if not p.maybe_there:
+            # No launch was ever sent: it is nowhere.
+            self.void(p, now)
+        elif m is not None:
+            self.want(m)
+
+    def stop_all(self, job: Job, now: Steady) -> None:
+        for p in list(job.placements()):
+            if p.phase is not Phase.ENDED:
+                self.stop(p, now)
+
+    def want(self, m: Machine) -> None:
+        """There is something to tell the machine: its next report should come here."""
+        if not m.wanted and m.life is Life.UP:
+            m.wanted = True
+            self._wants[m.id] = m
+
+    def take_wants(self) -> dict[NodeId, list[MachineId]]:
+        """By the node that heard the machine last."""
+        out: dict[NodeId, list[MachineId]] = {}
+        for m in self._wants.values():
+            m.wanted = False
+            if m.relay is not None:
+                out.setdefault(m.relay, []).append(m.id)
+        self._wants.clear()
+        return out
+
+    def doom(self, m: Machine, now: Steady) -> None:
+        m.life = Life.LEAVING
+        m.draining = True
+        self.doomed[m.id] = None
+        self.rental_due = now
+
+    def quarantine(self, m: Machine, why: str, now: Steady) -> None:
+        if m.quarantined:
+            return
+        out = sum(1 for other in self.fleet.machines.values() if other.quarantined)
+        if out >= max(1, self.tuning.quarantine_share * len(self.fleet.machines)):
+            # When many machines look bad at once, the evidence is more likely at fault.
+            return
+        m.quarantined = True
+        m.draining = True
+        self.rental_due = now
+        log.info("machine quarantined machine=%s why=%s jobs=%s", m.id, why, sorted(m.failed_jobs))
--- a/src/eldercart/core/health.py
+++ b/src/eldercart/core/health.py
@@ -17,6 +17,27 @@
 MAX_BACKOFF_S = 30.0
 
 
+class Obedience:
+    """Evidence that a machine talks but doesn't hear. Its silence is no sign, for reports keep
+    coming; but launches and kills have no effect, its session rises although it was answered, or
+    it goes on showing an old epoch. One lost answer, or a change of leader, condemns nobody: the
+    signs must follow each other, over some time, with nothing obeyed in between."""
+
+    def __init__(self, answers: int, least_s: float) -> None:
+        self._answers = answers
+        self._least = least_s
+
+    def ignored(self, m: Machine, now: Steady) -> bool:
+        """An answer that may have arrived had no effect; returns whether that is enough."""
+        if m.unheeded == 0:
+            m.told_since = now
+        m.unheeded += 1
+        return m.unheeded >= self._answers and now - m.told_since >= self._least
+
+    def obeyed(self, m: Machine) -> None:
+        m.unheeded = 0
+
+
 class Health:
     def __init__(self, quarantine_jobs: int, error_backoff_s: float) -> None:
         self._jobs = quarantine_jobs
@@ -44,15 +65,13 @@
         if ran_s <= 0:
             return False
         slow = len(job.ran) >= 3 and self._paced(m, job, ran_s / max(0.1, median(job.ran)))
-        job.ran.append(ran_s)
-        if len(job.ran) > 60:
-            del job.ran[:30]
+        job.note_run(ran_s)
         return slow
 
     def straggles(self, p: Placement, now: Steady) -> bool:
         """Whether a running task has taken far longer than any other of its job did."""
-        ran = p.job.ran
-        return len(ran) >= 3 and now - p.since > STRAGGLER_FACTOR * max(ran) + 5.0
+        job = p.job
+        return len(job.ran) >= 3 and now - p.since > STRAGGLER_FACTOR * job.longest + 5.0
 
     def straggled(self, m: Machine, job: Job) -> bool:
         """A task was stopped as a straggler; returns whether the machine is to be taken out."""
--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -59,6 +59,8 @@
     since: Steady = Steady(0)  # start of running, as seen here
     since_known: bool = True  # False: it ran already when this leader first heard of it
     reported: bool = False
+    mark: int = 0  # of the last report that listed it
+    told: int = 0  # launches or kills of it that went out without effect so far
 
     def ran(self, now: Steady) -> float:
         """Seconds of running, as seen here."""
@@ -94,11 +96,17 @@
         self.rank = 0  # its place in the last pass's order
         self.queued = 0  # tasks written ahead of free room
         self.cancelled = False  # asked for; durable once `ended` is set
+        self.begun = False  # a task of it has run, here or under an earlier leader
+        self.aged = False  # has waited so long that it goes ahead, see `placement.order_jobs`
+        self.end_sent = False  # its end may be in the store, and may be told elsewhere
+        self.end_unsure = False  # a write of it may still be applied late
+        self.unreadable = False  # a record of it can't be read: nothing of it may start
         self.ended: str | None = None
         self.errors = 0
         self.hold_until = Steady(-1e9)
         self.bad_machines: set[MachineId] = set()
         self.ran: list[float] = []  # run times seen, for comparison
+        self.longest = 0.0  # of these, kept
 
     @property
     def pending(self) -> int:
@@ -107,15 +115,18 @@
     @property
     def open(self) -> bool:
         """Neither ended nor asked to be cancelled: its tasks may start."""
-        return self.ended is None and not self.cancelled
+        return self.ended is None and not self.cancelled and not self.unreadable
 
     @property
     def complete(self) -> bool:
         return self.done_count == self.spec.tasks
 
-    def deadline(self) -> float:
-        due = self.spec.deadline_s
-        return float("inf") if due is None else self.arrived + due
+    def note_run(self, seconds: float) -> None:
+        self.ran.append(seconds)
+        if len(self.ran) > 60:
+            del self.ran[:30]
+            self.longest = max(self.ran)
+        self.longest = max(self.longest, seconds)
 
     def placements(self) -> Iterator[Placement]:
         for chunk in self.chunks.values():
@@ -171,20 +182,26 @@
         self, job: Job, number: int, value: Any, version: Revision, now: Steady
     ) -> list[Placement]:
         """Takes over a record of an earlier leader. Its placements may be on their machines."""
-        if not isinstance(value, dict):
-            raise Malformed("place record")
-        chunk = Chunk(number, version, Attempt(int(value["a"])))
+        try:
+            attempt, done = Attempt(int(value["a"])), [(int(a), int(b)) for a, b in value["d"]]
+            placed = [(int(i), Attempt(int(a)), MachineId(str(m))) for i, a, m in value["r"]]
+            if any(b >= job.spec.tasks for _, b in done):
+                raise ValueError(done)
+        except (KeyError, TypeError, ValueError) as err:
+            raise Malformed(f"place record: {err}") from None
+        chunk = Chunk(number, version, attempt)
         job.chunks[number] = chunk
-        for low, high in value["d"]:
+        for low, high in done:
             for i in range(low, high + 1):
                 if not job.done[i]:
                     job.done[i] = 1
                     job.done_count += 1
+        job.begun = job.begun or bool(done)
         loaded = []
-        for index, attempt, machine in value["r"]:
+        for index, attempt, machine in placed:
             p = Placement(
-                task_key(job.id, index), job, index, Attempt(attempt), MachineId(machine),
-                Phase.WANTED, maybe_there=True,
+                task_key(job.id, index), job, index, attempt, machine, Phase.WANTED,
+                maybe_there=True,
             )  # fmt: skip
             chunk.placements[index] = p
             loaded.append(p)
@@ -243,6 +260,7 @@
         if phase is Phase.RUNNING:
             p.since = now
             p.job.running += 1
+            p.job.begun = True
         elif p.phase is Phase.RUNNING:
             p.job.running -= 1
         p.phase = phase
--- /dev/null
+++ b/src/eldercart/core/machines.py
@@ -0,0 +1,407 @@
+"""What the machines say and are told: reports in, commands out, and what silence means."""
+
+import logging
+from collections.abc import Iterable
+
+from eldercart.core import placement as rules
+from eldercart.core.cloudwork import unknown_type
+from eldercart.core.fleet import EPS, Life, Machine
+from eldercart.core.floor import Floor
+from eldercart.core.jobs import Phase, Placement
+from eldercart.core.planner import Planner
+from eldercart.units import MachineId, NodeId, ReportOrder, Steady
+from eldercart.wire import workers
+
+log = logging.getLogger("eldercart.controller")
+
+DRAIN_FACTOR = 1.3  # of the time left, for run times are uncertain
+WATCH_S = 0.5  # between two looks at silence and late boots
+TASKS_S = 1.5  # between two looks at the tasks of all machines
+PROBE_FROM = 0.7  # of the patience, after which a silent machine is asked directly
+PROBE_S = 2.0  # between two such questions
+PROBES = 16  # handed out at once
+UNHEARD_S = 2.0  # without a word from a relay, after which its machines' silence may be its own
+
+
+class Machines:
+    """Reads reports against the books and answers them."""
+
+    def __init__(self, floor: Floor, planner: Planner) -> None:
+        self.f = floor
+        self.planner = planner
+        self._mark = 0
+        self._watch_due = floor.began
+        self._tasks_due = floor.began
+        self._relays: dict[NodeId, Steady] = {}  # when each was heard last
+        self._probes: dict[MachineId, None] = {}
+
+    # -- reports
+
+    def on_report(
+        self, r: workers.Report, now: Steady, relay: NodeId | None
+    ) -> list[workers.Command] | None:
+        f = self.f
+        m = f.fleet.get(r.machine)
+        if m is None:
+            if f.fleet.is_gone(r.machine):
+                # Its deletion was answered: this is a late copy and proves nothing.
+                return None
+            if r.epoch != f.epoch:
+                # The first that is heard of it, and it may be a late copy from a machine deleted
+                # under an earlier leader. A live worker learns the epoch from this answer and
+                # shows it in its next report; a copy never can.
+                return []
+            kind = f.types.get(r.type) or unknown_type(r.type)
+            m = f.fleet.add(r.machine, kind, r.zone, r.spot, Life.UP, now, now)
+            log.info("machine adopted machine=%s type=%s zone=%s", m.id, r.type, r.zone)
+        if r.order <= m.order:
+            # Held back by the network: what it says has been overtaken.
+            return None
+        rose = m.order.session > 0 and r.order.session > m.order.session
+        m.order = r.order
+        m.relay = relay
+        m.address = r.address
+        if m.life is Life.BOOTING:
+            m.life = Life.UP
+            m.idle_since = m.last_heard = now
+            f.plan_wanted = True
+            log.debug("machine up machine=%s after=%.1f", m.id, now - m.hired)
+        if r.epoch != f.epoch:
+            # The worker has not seen this epoch: an older leader's response may still be obeyed,
+            # so what this report lacks is no proof. Nor does it show that the machine lives now.
+            m.old_epoch += 1
+            if m.old_epoch > 1:
+                self._ignored(m, "shows an old epoch", now)
+            return []
+        if m.old_epoch:
+            m.old_epoch = 0
+            f.obedience.obeyed(m)
+        m.last_heard = now
+        if m.type.name != r.type or m.zone != r.zone or m.spot != r.spot:
+            f.fleet.describe(m, f.types.get(r.type) or unknown_type(r.type), r.zone, r.spot)
+        if r.notice_s is not None and m.taken_at is None:
+            m.taken_at = Steady(now + r.notice_s)
+            m.draining = True
+            log.info("spot notice machine=%s seconds=%.0f", m.id, r.notice_s)
+            f.rental_due = now
+        if not m.confirmed:
+            m.confirmed = True
+            f.plan_wanted = True
+        elif rose:
+            self._ignored(m, "lets its lease run out", now)
+        return self._reconcile(m, r, now)
+
+    def _ignored(self, m: Machine, why: str, now: Steady) -> None:
+        if m.undelivered:
+            m.undelivered = False
+        elif self.f.obedience.ignored(m, now) and m.life is Life.UP:
+            log.info("machine deaf machine=%s why=%s", m.id, why)
+            self.f.doom(m, now)
+
+    def undelivered(self, machine: MachineId) -> None:
+        """The last answer surely came too late; that it had no effect is no sign."""
+        m = self.f.fleet.get(machine)
+        if m is not None:
+            m.undelivered = True
+
+    def relay_lost(self, relay: NodeId) -> None:
+        """The connection broke: answers on their way are lost, and that is no machine's doing."""
+        for m in self.f.fleet.machines.values():
+            if m.relay == relay:
+                m.undelivered = True
+
+    def wants_next(self, machine: MachineId) -> bool:
+        m = self.f.fleet.get(machine)
+        if m is None or not m.confirmed or m.foreign:
+            return True
+        return bool(m.queue) and m.free_cpus + EPS >= min(p.job.spec.cpus for p in m.queue.values())
+
+    def _reconcile(self, m: Machine, r: workers.Report, now: Steady) -> list[workers.Command]:
+        f = self.f
+        calls: list[workers.Command] = []
+        self._mark += 1
+        mark = self._mark
+        foreign = ignored = obeyed = False
+        placed = m.placed
+        for key, attempt, state, why in r.tasks:
+            p = placed.get(key)
+            if p is None or p.attempt != attempt:
+                # Not ours any more, or another attempt: out with it.
+                if state == workers.EXITED:
+                    calls.append(workers.Clear(key, attempt))
+                else:
+                    calls.append(workers.Kill(key, attempt, 0.0))
+                    foreign = True
+                    if p is None:
+                        log.debug("unknown task machine=%s task=%s", m.id, key)
+                if p is not None:
+                    p.mark = mark  # a launch beside it would be refused; wait until it is cleared
+                continue
+            p.mark = mark
+            p.maybe_there = True
+            if p.phase is Phase.ENDED:
+                continue  # done, not yet durable: no clear yet
+            if state == workers.EXITED:
+                obeyed = True
+                self._exited(m, p, why, now)
+                if key not in placed:
+                    calls.append(workers.Clear(key, attempt))
+                continue
+            if not p.reported:
+                p.reported = True
+                f.fleet.note_image(m, p.job.spec.image, p.job.spec.image_gb)
+                if p.told:
+                    obeyed = True
+                    p.told = 0
+            if state == workers.TASK_RUNNING:
+                if p.phase is not Phase.RUNNING:
+                    f.start_waits.append(now - p.job.arrived)
+                    f.jobs.set_phase(p, Phase.RUNNING, now)
+            elif state == workers.SAVING:
+                f.jobs.set_phase(p, Phase.SAVING, now)
+            elif p.phase is not Phase.FETCHING:
+                f.jobs.set_phase(p, Phase.FETCHING, now)
+            if p.stopping:
+                if state == workers.SAVING:
+                    obeyed = True
+                elif p.told:
+                    ignored = True
+                p.told += 1
+                calls.append(workers.Kill(key, attempt, self._grace(p)))
+        if m.foreign and not foreign:
+            f.plan_wanted = True
+        m.foreign = foreign
+        if m.live:
+            for p in [p for p in placed.values() if p.mark != mark]:
+                if p.phase is Phase.ENDED or p.phase is Phase.PLANNED:
+                    continue
+                ignored |= self._absent(m, p, calls, now)
+        if m.queue:
+            self._launch_queued(m, calls, now)
+        if obeyed:
+            f.obedience.obeyed(m)
+        elif ignored:
+            self._ignored(m, "does not do what it is told", now)
+        m.undelivered = False
+        return calls
+
+    def _absent(self, m: Machine, p: Placement, calls: list[workers.Command], now: Steady) -> bool:
+        """A newer report lacks the task. Returns whether it was told to have it."""
+        f = self.f
+        if p.stopping or not p.job.open:
+            f.void(p, now)
+            return False
+        if p.reported:
+            # It was there and a newer report lacks it: its session ended.
+            log.info("task lost machine=%s task=%s attempt=%d", m.id, p.key, p.attempt)
+            f.void(p, now)
+            return False
+        if m.life is not Life.UP or m.draining:
+            f.void(p, now)
+            return False
+        if min(m.free_cpus, m.free_gpus, m.free_memory) < -EPS:
+            # Written ahead by an earlier leader for room that is not there: not launched.
+            f.void(p, now)
+            return False
+        # Again if need be: absence from a newer report shows that a launch was dropped.
+        again = p.told > 0
+        p.since_known = True
+        p.maybe_there = True
+        p.told += 1
+        calls.append(workers.Launch(p.key, p.attempt))
+        return again
+
+    def _launch_queued(self, m: Machine, calls: list[workers.Command], now: Steady) -> None:
+        """The report has shown what room there is; what was written ahead may start at once."""
+        f = self.f
+        if not m.usable:
+            return
+        teams = f.settings.teams
+        waiting = sorted(
+            m.queue.values(),
+            key=lambda p: (not p.job.aged, -p.job.spec.priority, p.job.rank, p.queued_at),
+        )
+        for p in waiting:
+            if p.phase is not Phase.WANTED or p.key in m.placed:
+                continue
+            spec = p.job.spec
+            cpus, gpus, memory = m.free_cpus, m.free_gpus, m.free_memory
+            if rules.fits(spec, cpus, gpus, memory) < 1:
+                return
+            if not p.job.aged:
+                for above in self.planner.waiting:
+                    # Room for a waiting task of higher priority is not broken up; the rest is used.
+                    if above.priority > spec.priority and rules.allowed(above, m):
+                        n = rules.fits(above, cpus, gpus, memory)
+                        cpus -= n * above.cpus
+                        gpus -= n * above.gpus
+                        memory -= n * above.memory_gb
+            if (
+                rules.fits(spec, cpus, gpus, memory) < 1
+                or rules.team_room(spec, f.fleet, teams) < 1
+            ):
+                continue
+            f.jobs.unmark_queued(p)
+            f.fleet.dequeue(m, p)
+            f.fleet.occupy(m, p)
+            p.maybe_there = True
+            p.told = 1
+            calls.append(workers.Launch(p.key, p.attempt))
+
+    def _grace(self, p: Placement) -> float:
+        # A cancelled job's work is of no use; otherwise let the task save.
+        return 0.0 if p.job.cancelled else p.job.spec.save_s
+
+    def _exited(self, m: Machine, p: Placement, why: str | None, now: Steady) -> None:
+        f = self.f
+        job = p.job
+        if not job.open:
+            # Its end is decided or even durable (a new leader may load such a job before its
+            # records are gone); to end it once more would be refused for ever.
+            f.void(p, now)
+            return
+        ran = p.ran(now) if p.since_known else 0.0
+        if why == workers.WHY_DONE:
+            f.fleet.release(m, p, now)
+            f.jobs.finish(p, now)
+            f.dirty[job.id] = job
+            if job.pending or job.queued or self.planner.waiting:
+                f.plan_wanted = True
+            job.begun = True
+            f.work_done += ran * job.spec.cpus
+            f.predictor.ran(job, ran)
+            if f.health.task_done(m, job, ran):
+                f.quarantine(m, "slow", now)
+            if job.complete:
+                f.ending[job.id] = job
+            return
+        if why == workers.WHY_ERROR and not p.stopping:
+            log.info("task failed machine=%s task=%s attempt=%d", m.id, p.key, p.attempt)
+            if f.health.task_failed(m, job, now):
+                f.quarantine(m, "failing", now)
+        elif why in (workers.WHY_NO_ROOM, workers.WHY_BUSY, workers.WHY_UNKNOWN):
+            log.info("start refused machine=%s task=%s why=%s", m.id, p.key, why)
+            m.refuse_until = Steady(now + 2 * f.settings.report_s)
+            if why == workers.WHY_UNKNOWN:
+                job.hold_until = Steady(now + f.tuning.error_backoff_s)
+        f.void(p, now)
+
+    # -- silence
+
+    def heard(
+        self, relay: NodeId, orders: Iterable[tuple[MachineId, ReportOrder]], now: Steady
+    ) -> None:
+        self._relays[relay] = now
+        get = self.f.fleet.machines.get
+        for machine, order in orders:
+            m = get(machine)
+            # An older one is a copy that came late, or has been overtaken by a forwarded report.
+            if m is not None and order > m.order:
+                m.order = order
+                m.last_heard = now
+                m.relay = relay
+
+    def shown(self, machine: MachineId, now: Steady) -> None:
+        """Asked directly, the machine answered: it lives, wherever its reports go."""
+        m = self.f.fleet.get(machine)
+        if m is not None:
+            m.shown = now
+
+    def take_probes(self) -> list[tuple[MachineId, str]]:
+        """Machines to be asked directly before their silence is taken for death."""
+        out: list[tuple[MachineId, str]] = []
+        while self._probes and len(out) < PROBES:
+            machine = next(iter(self._probes))
+            del self._probes[machine]
+            m = self.f.fleet.get(machine)
+            if m is not None and m.address:
+                out.append((machine, m.address))
+        return out
+
+    def stood_still(self, gap: float) -> None:
+        for m in self.f.fleet.machines.values():
+            m.last_heard = Steady(m.last_heard + gap)
+
+    @property
+    def patience(self) -> float:
+        t = self.f.tuning
+        return max(float(t.silence_least_s), float(t.silence_reports) * self.f.settings.report_s)
+
+    def watch(self, now: Steady) -> None:
+        if now < self._watch_due:
+            return
+        self._watch_due = Steady(now + WATCH_S)
+        tasks = now >= self._tasks_due
+        if tasks:
+            self._tasks_due = Steady(now + TASKS_S)
+        patience = self.patience
+        for m in self.f.fleet.machines.values():
+            if m.life is Life.LEAVING:
+                continue
+            if m.taken_at is not None:
+                self._drain(m, m.taken_at, now)
+            if m.life is Life.BOOTING:
+                limit = max(self.f.tuning.boot_patience * m.type.boot_s, 10.0)
+                if now - m.hired > limit + self.f.settings.list_lag_s:
+                    log.info("machine late machine=%s seconds=%.1f", m.id, now - m.hired)
+                    self.f.doom(m, now)
+            elif now - m.last_heard > PROBE_FROM * patience and self._silent(m, patience, now):
+                log.info("machine silent machine=%s seconds=%.1f", m.id, now - m.last_heard)
+                self.f.doom(m, now)
+            elif m.quarantined and not m.live:
+                self.f.doom(m, now)
+            elif tasks and (m.live or m.queue):
+                self._watch_tasks(m, now)
+
+    def _silent(self, m: Machine, patience: float, now: Steady) -> bool:
+        if m.address and now - m.probed >= PROBE_S:
+            m.probed = now
+            self._probes[m.id] = None
+        limit = patience
+        if m.taken_at is not None and now > m.taken_at:
+            limit = 1.5 * self.f.settings.report_s  # it was told to us that it would go
+        elif m.shown > m.last_heard:
+            # It lives, and reports where this leader hears nothing: to a leader or a relay that
+            # is cut off. That one lets go of it within its grant.
+            limit += self.f.settings.lease_s
+        elif m.relay is not None and now - self._relays.get(m.relay, now) > UNHEARD_S:
+            # Its relay is silent: it needs time to find another.
+            limit += self.f.settings.lease_s / 2
+        return now - m.last_heard > limit
+
+    def _watch_tasks(self, m: Machine, now: Steady) -> None:
+        f = self.f
+        kill_patience = f.settings.cancel_s * 0.6
+        if m.queue and m.free_cpus > EPS:
+            f.want(m)
+        for p in list(m.placed.values()):
+            if p.phase is Phase.WANTED and not p.reported:
+                f.want(m)  # a word to its relay may have been lost
+            if p.stopping:
+                if p.phase is not Phase.ENDED:
+                    f.want(m)
+                if p.job.cancelled and now - p.stop_since > kill_patience:
+                    log.info("kill overdue machine=%s task=%s", m.id, p.key)
+                    f.doom(m, now)
+                    return
+            elif p.phase is Phase.RUNNING and f.health.straggles(p, now):
+                log.info("straggler task=%s machine=%s", p.key, m.id)
+                p.job.bad_machines.add(m.id)
+                f.stop(p, now)
+                if f.health.straggled(m, p.job):
+                    f.quarantine(m, "slow", now)
+
+    def _drain(self, m: Machine, taken_at: Steady, now: Steady) -> None:
+        """A task that can't end before the machine is taken starts again elsewhere now rather
+        than after the loss, and so does one that can save when it is stopped; one that may end
+        in time runs on."""
+        f = self.f
+        left = taken_at - now
+        for p in list(m.placed.values()):
+            if p.stopping or p.phase not in (Phase.WANTED, Phase.FETCHING, Phase.RUNNING):
+                continue
+            if not p.since_known:
+                continue
+            saves = p.job.spec.checkpoint_s > 0.0 and p.job.spec.save_s < left
+            if saves or f.predictor.run_s(p.job) - p.ran(now) > DRAIN_FACTOR * left:
+                f.stop(p, now)
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -4,14 +4,13 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from eldercart.core.fleet import Fleet, Machine
+from eldercart.core.fleet import EPS, Fleet, Machine
 from eldercart.core.jobs import Job, Phase, Placement
 from eldercart.settings.platform import Team
 from eldercart.units import Steady
 from eldercart.wire.cloud import MachineType
 from eldercart.wire.users import JobSpec
 
-EPS = 1e-6
 UNKNOWN_ZONE = "?"
 
 
@@ -48,38 +47,38 @@
     )
 
 
-@dataclass(slots=True)
-class Room:
-    """What is free on a machine, or will be."""
-
-    cpus: float
-    gpus: float
-    memory_gb: float
-
-    def fits(self, spec: JobSpec) -> int:
-        n = 100_000
-        if spec.cpus > 0:
-            n = min(n, int((self.cpus + EPS) / spec.cpus))
-        if spec.gpus > 0:
-            n = min(n, int((self.gpus + EPS) / spec.gpus))
-        if spec.memory_gb > 0:
-            n = min(n, int((self.memory_gb + EPS) / spec.memory_gb))
-        return max(0, n)
-
-    def add(self, spec: JobSpec, number: int = 1) -> None:
-        self.cpus += spec.cpus * number
-        self.gpus += spec.gpus * number
-        self.memory_gb += spec.memory_gb * number
+def fits(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
+    """How many tasks of this size fit into so much room."""
+    n = 100_000
+    if spec.cpus > 0:
+        n = int((cpus + EPS) / spec.cpus)
+        if n <= 0:
+            return 0
+    if spec.gpus > 0:
+        n = min(n, int((gpus + EPS) / spec.gpus))
+    if spec.memory_gb > 0:
+        n = min(n, int((memory_gb + EPS) / spec.memory_gb))
+    return max(0, n)
 
 
-def free_room(m: Machine) -> Room:
+def room(spec: JobSpec, m: Machine) -> int:
     """Beside everything that may run there and what is held for jobs placed before."""
-    return Room(m.free_cpus - m.held_cpus, m.free_gpus - m.held_gpus, m.free_memory - m.held_memory)
+    return fits(
+        spec,
+        m.free_cpus - m.held_cpus,
+        m.free_gpus - m.held_gpus,
+        m.free_memory - m.held_memory,
+    )
 
 
-def room(spec: JobSpec, m: Machine) -> int:
-    """How many tasks of this size fit."""
-    return free_room(m).fits(spec)
+def room_soon(spec: JobSpec, m: Machine) -> int:
+    """The same once everything that is being stopped has gone."""
+    return fits(
+        spec,
+        m.free_cpus - m.held_cpus + m.leaving_cpus,
+        m.free_gpus - m.held_gpus + m.leaving_gpus,
+        m.free_memory - m.held_memory + m.leaving_memory,
+    )
 
 
 def team_room(spec: JobSpec, fleet: Fleet, teams: dict[str, Team]) -> int:
@@ -264,86 +263,30 @@
     return ordered
 
 
-@dataclass(slots=True)
-class Claim:
-    """Room that a waiting job will get on a machine once the victims there have gone."""
-
-    machine: Machine
-    number: int
-    victims: list[Placement]
-
-
-def claim_room(
-    job: Job, wanted: int, machines: Iterable[Machine], soon: dict[str, Room], lower: bool,
-    now: Steady,
-) -> list[Claim]:  # fmt: skip
-    """Where a job that found no room gets some: first where tasks are being stopped anyway, then
-    by stopping tasks of lower priority, those that lose the least work first. `soon` is the room
-    once everything being stopped has gone; it is reduced by what is claimed. `lower`: whether
-    anything of lower priority is placed at all."""
-    spec = job.spec
-    claims: list[Claim] = []
-    rest: list[Machine] = []
-    for m in machines:
-        if wanted <= 0:
-            return claims
-        if not allowed(spec, m) or m.id in job.bad_machines:
-            continue
-        left = soon[m.id]
-        n = min(left.fits(spec), wanted)
-        if n > 0:
-            left.add(spec, -n)
-            claims.append(Claim(m, n, []))
-            wanted -= n
-        rest.append(m)
-    if not lower:
-        return claims
-    offers: list[tuple[float, str, Machine, list[Placement]]] = []
-    for m in rest:
-        offer = _cheapest(job, m, soon[m.id], now, set())
-        if offer is not None:
-            heapq.heappush(offers, (offer[0], m.id, m, offer[1]))
-    taken: dict[str, set[Placement]] = {}
-    while wanted > 0 and offers:
-        _, _, m, victims = heapq.heappop(offers)
-        left = soon[m.id]
-        for p in victims:
-            left.add(p.job.spec)
-        left.add(spec, -1)
-        gone = taken.setdefault(m.id, set())
-        gone.update(victims)
-        claims.append(Claim(m, 1, victims))
-        wanted -= 1
-        offer = _cheapest(job, m, left, now, gone)
-        if offer is not None:
-            heapq.heappush(offers, (offer[0], m.id, m, offer[1]))
-    return claims
-
-
-def _cheapest(
-    job: Job, m: Machine, left: Room, now: Steady, gone: set[Placement]
-) -> tuple[float, list[Placement]] | None:
-    """The work lost by making room for one task, and the tasks to stop for it."""
+def cheapest_victims(job: Job, m: Machine, now: Steady) -> tuple[float, list[Placement]] | None:
+    """The work lost by making room for one task there, and the tasks to stop for it: those of
+    lower priority that lose the least."""
     spec = job.spec
     candidates = [
-        p
+        (lost_work(p, now), p.key, p)
         for p in m.placed.values()
-        if p.job.spec.priority < spec.priority
-        and not p.stopping
-        and p.phase is not Phase.ENDED
-        and p not in gone
+        if p.job.spec.priority < spec.priority and not p.stopping and p.phase is not Phase.ENDED
     ]
-    candidates.sort(key=lambda p: (lost_work(p, now), p.key))
-    room_ = Room(left.cpus, left.gpus, left.memory_gb)
+    candidates.sort(key=lambda c: c[:2])
+    cpus = m.free_cpus - m.held_cpus + m.leaving_cpus
+    gpus = m.free_gpus - m.held_gpus + m.leaving_gpus
+    memory = m.free_memory - m.held_memory + m.leaving_memory
     victims: list[Placement] = []
     lost = 0.0
-    for p in candidates:
-        if room_.fits(spec):
+    for work, _, p in candidates:
+        if fits(spec, cpus, gpus, memory):
             break
-        room_.add(p.job.spec)
+        cpus += p.job.spec.cpus
+        gpus += p.job.spec.gpus
+        memory += p.job.spec.memory_gb
         victims.append(p)
-        lost += lost_work(p, now)
-    return (lost, victims) if room_.fits(spec) else None
+        lost += work
+    return (lost, victims) if fits(spec, cpus, gpus, memory) else None
 
 
 def lost_work(p: Placement, now: Steady) -> float:
--- /dev/null
+++ b/src/eldercart/core/planner.py
@@ -0,0 +1,313 @@
+"""One pass of placing: which waiting tasks go where, which are written ahead, which are stopped.
+
+A pass looks at what is free or may come free, not at everything that runs, and is repeated at a
+pace that its own cost sets.
+"""
+
+import heapq
+import logging
+from typing import Any
+
+from eldercart.core import placement as rules
+from eldercart.core.fleet import EPS, Machine
+from eldercart.core.floor import Floor
+from eldercart.core.jobs import Job
+from eldercart.units import Steady
+from eldercart.wire.users import JobSpec
+
+log = logging.getLogger("eldercart.controller")
+
+PACE = 5.0  # a pass may take one part in so many of the time
+OFFERS = 12  # machines looked at per task that others are stopped for
+
+
+class Planner:
+    """Owns the order of the last pass and what it left waiting."""
+
+    def __init__(self, floor: Floor) -> None:
+        self.f = floor
+        self.waiting: list[JobSpec] = []  # of jobs that found no room in the last pass
+        self._planned = Steady(-1e9)
+        self._cost = 0.0  # seconds that a pass takes, as told by the adapter
+        self._turn = 0
+
+    def cost(self, seconds: float) -> None:
+        self._cost = max(seconds, 0.7 * self._cost)
+
+    def due(self, now: Steady) -> bool:
+        since = now - self._planned
+        least = max(self.f.tuning.plan_interval_s, PACE * self._cost)
+        return since >= max(1.0, least) or (self.f.plan_wanted and since >= least)
+
+    def plan(self, now: Steady) -> None:
+        f = self.f
+        f.plan_wanted = False
+        self._planned = now
+        self.waiting = []
+        waiting = []
+        for j in f.jobs.jobs.values():
+            if (j.queued or j.pending) and j.open:
+                if j.hold_until > now:
+                    f.plan_wanted = True
+                    continue
+                waiting.append(j)
+        if not waiting:
+            return
+        machines = [m for m in f.fleet.machines.values() if m.usable]
+        if not machines:
+            return
+        f.fleet.clear_holds()
+        self._revoke_queued(now)
+        usable = sum(m.type.cpus for m in machines)
+        used = f.fleet.used
+
+        def capacity(priority: int) -> float:
+            return usable - sum(cpus for above, cpus in used.items() if above > priority)
+
+        ordered = rules.order_jobs(
+            waiting, f.fleet, f.settings.teams, f.promises, capacity,
+            f.predictor.run_s, f.predictor.longest_s, now,
+        )  # fmt: skip
+        for rank, job in enumerate(ordered):
+            job.rank = rank
+        _Pass(self, machines, self._with_aged(ordered, now), now).run()
+
+    def _with_aged(self, ordered: list[Job], now: Steady) -> list[tuple[Job, int | None]]:
+        """Jobs that have waited too long to begin go ahead with their first tasks: of their
+        priority, and after a longer wait of every other. The order alone sets the largest aside
+        as long as a burst lasts, and would never come to the lowest under steady load."""
+        t = self.f.tuning
+        first: list[tuple[Job, int | None]] = []
+        ahead: dict[int, list[tuple[Job, int | None]]] = {}
+        for job in sorted(ordered, key=lambda j: (j.arrived, j.id)):
+            waited = now - job.arrived
+            job.aged = not job.begun and waited >= t.starve_s
+            if not job.aged:
+                continue
+            placed = job.spec.tasks - job.pending - job.done_count - job.queued
+            left = int(t.starve_tasks) - placed
+            if left <= 0:
+                continue
+            if waited >= t.starve_below_s:
+                first.append((job, left))
+            else:
+                ahead.setdefault(job.spec.priority, []).append((job, left))
+        out = first
+        level: int | None = None
+        for job in ordered:
+            if job.spec.priority != level:
+                level = job.spec.priority
+                out += ahead.get(level, [])
+            out.append((job, None))
+        return out
+
+    def _revoke_queued(self, now: Steady) -> None:
+        """Takes back what was written ahead for a machine that no longer takes anything, or where
+        the room has not come: it was never sent, so it may go elsewhere at once."""
+        patience = self.f.tuning.ahead_patience_s
+        for m in list(self.f.fleet.queues.values()):
+            for p in list(m.queue.values()):
+                if not m.usable or now - p.queued_at > patience:
+                    self.f.void(p, now)
+
+    def turn(self, number: int) -> int:
+        """Where to begin among so many, each time elsewhere."""
+        self._turn += 1
+        return (self._turn * 7) % max(1, number)
+
+
+class _Pass:
+    def __init__(
+        self, planner: Planner, machines: list[Machine], jobs: list[tuple[Job, int | None]],
+        now: Steady,
+    ) -> None:  # fmt: skip
+        self.planner = planner
+        self.f = planner.f
+        self.now = now
+        self.machines = machines
+        self.jobs = jobs
+        least = min((job.spec.cpus for job, _ in jobs if job.spec.cpus > 0), default=0.0)
+        self.least = least
+        self.open = [
+            m
+            for m in machines
+            if m.free_cpus + EPS >= least and m.free_memory > EPS and m.refuse_until <= now
+        ]
+        self._ahead: list[Machine] | None = None
+        self._leaving: list[Machine] | None = None
+        self._full: set[tuple[Any, ...]] = set()  # shapes that found no room in this pass
+        self._no_claim: set[tuple[Any, ...]] = set()
+
+    def run(self) -> None:
+        f, now = self.f, self.now
+        level: int | None = None
+        keeps = self._ordinary_kept()
+        lead = 2.5 * f.settings.report_s + 1.0
+        patience = f.tuning.preempt_wait_s
+        for job, cap in self.jobs:
+            spec = job.spec
+            if cap is None and spec.priority != level:
+                self._hold_queued(spec.priority, level)
+                level = spec.priority
+            shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
+            if self.open and shape not in self._full:
+                kept = spec.spot and keeps is not None and spec.priority <= keeps and cap is None
+                self._place(job, shape, kept, cap)
+            if cap is None and (job.pending or job.queued):
+                self.planner.waiting.append(spec)
+            left = min(job.pending, rules.team_room(spec, f.fleet, f.settings.teams))
+            if cap is not None:
+                left = min(left, cap)
+            if left <= 0 or spec.together or spec.spread:
+                continue
+            if cap is not None or now >= f.promises.preempts_from(job, lead, patience):
+                left -= self._claim(job, left, shape)
+            if left > 0:
+                self._write_ahead(job, left, cap is not None)
+
+    def _hold_queued(self, priority: int, above_was: int | None) -> None:
+        """What was written ahead keeps its room from jobs of the same or lower priority."""
+        for m in self.f.fleet.queues.values():
+            for p in m.queue.values():
+                above = p.job.spec.priority
+                if p.queued_at == self.now:
+                    continue  # held when it was written, in this very pass
+                if above >= priority and (above_was is None or above < above_was):
+                    self.f.fleet.hold(m, p.job.spec, 1)
+
+    def _place(self, job: Job, shape: tuple[Any, ...], no_ordinary: bool, cap: int | None) -> None:
+        f, now, spec = self.f, self.now, job.spec
+        wanted = job.pending + job.queued if cap is None else min(cap, job.pending + job.queued)
+        machines = [m for m in self.open if m.spot] if no_ordinary else self.open
+        choices = rules.choose(job, wanted, machines, f.fleet, f.settings.teams, now)
+        self._take_back(job, sum(c.number for c in choices) - job.pending)
+        if not choices:
+            plain = not (spec.together or spec.spread or job.bad_machines)
+            if plain and rules.team_room(spec, f.fleet, f.settings.teams) > 0:
+                self._full.add(shape)
+            return
+        for choice in choices:
+            for index in f.jobs.next_tasks(job, choice.number):
+                f.fleet.occupy(choice.machine, f.jobs.place(job, index, choice.machine.id, now))
+        f.dirty[job.id] = job
+        least = self.least
+        self.open = [m for m in self.open if m.free_cpus - m.held_cpus + EPS >= least]
+
+    def _ordinary_kept(self) -> int | None:
+        """Whether ordinary machines are kept for jobs that may use nothing else, and up to which
+        priority: when those jobs are expected to need all that is left of them, a job that may
+        use spot machines waits for one rather than be stopped or stand in the way."""
+        free = sum(m.free_cpus for m in self.machines if not m.spot)
+        top = -1
+        for job in self.f.jobs.jobs.values():
+            if not job.spec.spot and job.ended is None:
+                top = max(top, job.spec.priority)
+        wanted = self.f.rental.targets()[0] - self.f.fleet.ordinary_used
+        return top if top >= 0 and wanted >= free else None
+
+    def _take_back(self, job: Job, number: int) -> None:
+        """Room has come free elsewhere for tasks that were written ahead: nothing was sent for
+        them, so they may move."""
+        if number <= 0:
+            return
+        queued = [p for p in job.placements() if p.queued]
+        queued.sort(key=lambda p: (-p.queued_at, p.key))
+        for p in queued[:number]:
+            self.f.void(p, self.now)
+
+    def _write_ahead(self, job: Job, left: int, aged: bool) -> None:
+        """Writes waiting tasks ahead, so that a report that shows room is answered with a launch
+        and no write stands between; in an outage of the state service work goes on so far."""
+        spec = job.spec
+        if spec.cpus <= 0:
+            return
+        share = self.f.tuning.ahead_share
+        if self._ahead is None:
+            least = self.least
+            self._ahead = [
+                m for m in self.machines if m.type.cpus * share - m.queued_cpus + EPS >= least
+            ]
+        candidates = []
+        for m in self.machines if aged else self._ahead:
+            room = m.type.cpus * share - m.queued_cpus
+            if aged:
+                room = max(room, spec.cpus)
+            if room + EPS >= spec.cpus and m.id not in job.bad_machines and rules.allowed(spec, m):
+                cached = spec.image in m.images
+                candidates.append(
+                    (not cached, len(m.queue), m.id, m, int((room + EPS) / spec.cpus))
+                )
+        if not candidates:
+            return
+        candidates.sort(key=lambda c: c[:3])
+        for _, _, _, m, n in candidates:
+            take = min(left, n)
+            if take <= 0:
+                break
+            left -= take
+            self._enqueue(job, m, take)
+        least = self.least
+        self._ahead = [m for m in self._ahead if m.type.cpus * share - m.queued_cpus + EPS >= least]
+
+    def _enqueue(self, job: Job, m: Machine, number: int) -> None:
+        f = self.f
+        for index in f.jobs.next_tasks(job, number):
+            p = f.jobs.place(job, index, m.id, self.now)
+            f.jobs.mark_queued(p, self.now)
+            f.fleet.enqueue(m, p)
+            f.fleet.hold(m, job.spec, 1)
+        f.dirty[job.id] = job
+
+    def _claim(self, job: Job, left: int, shape: tuple[Any, ...]) -> int:
+        """Holds room for a job that found none: first where tasks are being stopped anyway, then
+        by stopping tasks of lower priority, those that lose the least work first, among some of
+        the machines. Without the hold, small tasks would take each freed bit and a larger one
+        would wait for ever. Returns how many tasks now wait for such room, written ahead."""
+        f, spec, now = self.f, job.spec, self.now
+        if shape in self._no_claim:
+            return 0
+        claimed = 0
+        if self._leaving is None:
+            self._leaving = [m for m in self.machines if m.leaving_cpus > EPS]
+        for m in self._leaving:
+            if claimed >= left:
+                return claimed
+            if rules.allowed(spec, m) and m.id not in job.bad_machines:
+                n = min(rules.room_soon(spec, m), left - claimed)
+                if n > 0:
+                    self._enqueue(job, m, n)
+                    claimed += n
+        if not any(cpus > EPS for below, cpus in f.fleet.used.items() if below < spec.priority):
+            return claimed
+        offers: list[tuple[float, str, Machine, list[Any]]] = []
+        looked = 0
+        number = len(self.machines)
+        start = self.planner.turn(number)
+        for i in range(number):
+            m = self.machines[(start + i) % number]
+            if not any(c > EPS for below, c in m.by_priority.items() if below < spec.priority):
+                continue
+            if not rules.allowed(spec, m) or m.id in job.bad_machines:
+                continue
+            offer = rules.cheapest_victims(job, m, now)
+            if offer is not None:
+                offers.append((offer[0], m.id, m, offer[1]))
+            looked += 1
+            if looked >= OFFERS + 2 * (left - claimed):
+                break
+        heapq.heapify(offers)
+        while claimed < left and offers:
+            _, _, m, victims = heapq.heappop(offers)
+            self._enqueue(job, m, 1)
+            claimed += 1
+            for p in victims:
+                log.debug("preempted task=%s machine=%s for=%s", p.key, p.machine, job.id)
+                f.stop(p, now)
+            if m not in self._leaving:
+                self._leaving.append(m)
+            offer = rules.cheapest_victims(job, m, now)
+            if offer is not None:
+                heapq.heappush(offers, (offer[0], m.id, m, offer[1]))
+        if claimed == 0 and not job.bad_machines:
+            self._no_claim.add(shape)
+        return claimed
--- a/src/eldercart/core/prediction.py
+++ b/src/eldercart/core/prediction.py
@@ -112,7 +112,7 @@
     def longest_s(self, job: Job) -> float:
         """How long the job's last task takes once it is launched: tasks of one job differ, and
         the job is done only with the longest; report, launch and fetch come on top."""
-        longest = max(job.ran) if len(job.ran) >= 3 else LONGEST * self.run_s(job)
+        longest = job.longest if len(job.ran) >= 3 else LONGEST * self.run_s(job)
         return max(longest, LONGEST * self.run_s(job)) + LAUNCH_S
 
     # -- the stream
--- /dev/null
+++ b/src/eldercart/core/records.py
@@ -0,0 +1,330 @@
+"""What the leader writes to the state service: ends, placements, clean-ups; one transaction at a
+time, because a record's version is needed for its next write."""
+
+import logging
+from dataclasses import dataclass, field
+from enum import Enum
+
+import orjson
+
+from eldercart.core.floor import Floor
+from eldercart.core.jobs import (
+    END,
+    GONE,
+    JOB,
+    PLACE,
+    Chunk,
+    Job,
+    Phase,
+    Placement,
+    end_of,
+    place_key,
+)
+from eldercart.election import LEAD_KEY
+from eldercart.units import ABSENT, JobId, Revision, Steady
+from eldercart.wire import users
+from eldercart.wire.state import Drop, Item, Put, Txn
+
+log = logging.getLogger("eldercart.controller")
+
+WRITE_PAUSE_S = 0.25  # after a write that was not carried out
+TXN_BYTES = 56 * 1024  # the limit is 64 KiB; keys, guards and names take the rest
+ASIDE_S = 20.0  # for which a job is left alone whose record the store refuses for what it is
+
+
+class Outcome(Enum):
+    OK = "ok"
+    CONFLICT = "conflict"
+    REFUSED = "refused"  # surely not carried out
+    MALFORMED = "malformed"  # not carried out, and never will be as it is
+    UNKNOWN = "unknown"  # may have been, or may be later
+
+
+@dataclass(slots=True)
+class PendingTxn:
+    txn: Txn
+    ends: list[tuple[Job, str]] = field(default_factory=list)
+    chunks: list[tuple[Job, Chunk, list[Placement], list[Placement]]] = field(default_factory=list)
+    cleanups: list[tuple[Job, list[int], bool]] = field(default_factory=list)
+    orphans: list[tuple[str, Revision]] = field(default_factory=list)
+    size: int = 0
+
+    def jobs(self) -> set[JobId]:
+        found = {job.id for job, _ in self.ends} | {job.id for job, _, _, _ in self.chunks}
+        return found | {job.id for job, _, _ in self.cleanups}
+
+
+class Records:
+    """Owns what waits to be written and the transaction under way."""
+
+    def __init__(self, floor: Floor) -> None:
+        self.f = floor
+        self.reread: set[str] = set()
+        self.reread_under_way: set[str] = set()
+        self.finished: list[tuple[JobId, str]] = []  # newly durable ends, for waiting answers
+        self.cleaning: dict[JobId, Job] = {}
+        self.orphans: list[tuple[str, Revision]] = []
+        self.outage = False  # the last write was not carried out
+        self._txn: PendingTxn | None = None
+        self._pause = Steady(-1e9)
+        self._most_ops: int = floor.settings.txn_ops
+        self._aside: dict[JobId, Steady] = {}
+        self._unsure: set[str] = set()  # keys whose version only a reread can tell
+
+    # -- building
+
+    def next_txn(self, now: Steady, ops: int) -> PendingTxn | None:
+        """The next transaction of at most `ops` changes."""
+        if self._txn is not None or ops < 1 or now < self._pause:
+            return None
+        f = self.f
+        if not (f.ending or f.dirty or self.cleaning or self.orphans):
+            return None
+        if self._aside:
+            self._aside = {job: until for job, until in self._aside.items() if until > now}
+        ops = min(ops, self._most_ops)
+        pending = PendingTxn(Txn({LEAD_KEY: Revision(f.epoch)}))
+        if self._add_ends(pending, ops):
+            self._add_chunks(pending, ops, now)
+            self._add_cleanups(pending, ops)
+        if not pending.txn.writes:
+            return None
+        self._txn = pending
+        for job, _ in pending.ends:
+            job.end_sent = True
+        return pending
+
+    def _held(self, job: Job, *keys: str) -> bool:
+        """One job's trouble must not hold back the others': it alone waits for its reread."""
+        return job.id in self._aside or any(k in self._unsure for k in keys)
+
+    def _add_ends(self, pending: PendingTxn, ops: int) -> bool:
+        """Returns whether anything of less urgency may follow: not while an end waits for more
+        tokens, or each token would go to a placement as it came."""
+        txn = pending.txn
+        for job in self.f.ending.values():
+            if self._held(job, END + job.id):
+                continue
+            how = users.CANCELLED if job.cancelled else users.DONE
+            stored = [c for c in job.chunks.values() if c.version]
+            sure = not any(place_key(job.id, c.number) in self._unsure for c in stored)
+            whole = how == users.DONE and len(stored) <= 3 and sure
+            need = 2 + len(stored) if whole else 2
+            if len(txn.writes) + need > ops:
+                if whole and need > ops:
+                    whole, need = False, 2
+                if len(txn.writes) + need > ops:
+                    return self._most_ops < 2
+            txn.guards[END + job.id] = ABSENT
+            txn.writes.append(Put(END + job.id, {"e": how, "n": job.spec.tasks}))
+            pending.ends.append((job, how))
+            pending.size += 250
+            if whole:
+                txn.writes.append(Drop(JOB + job.id))
+                txn.writes += [Drop(place_key(job.id, c.number)) for c in stored]
+                pending.cleanups.append((job, [c.number for c in stored], True))
+            else:
+                # The marker tells a later leader that this job only waits to be cleaned up.
+                txn.writes.append(Put(GONE + job.id, {"e": how}))
+        return True
+
+    def _add_chunks(self, pending: PendingTxn, ops: int, now: Steady) -> None:
+        """Placements first, in the order of the last pass; completed tasks in batches, later."""
+        f = self.f
+        urgent: list[tuple[bool, int, int, int, Job, Chunk]] = []
+        idle: list[tuple[Steady, Job, Chunk]] = []
+        for job in list(f.dirty.values()):
+            if job.ended is not None or job.id in f.ending:
+                # The end covers the record; what it still lists is checked against reports.
+                for c in job.chunks.values():
+                    c.dirty = c.urgent = False
+                del f.dirty[job.id]
+                continue
+            left = False
+            for c in job.chunks.values():
+                if not c.dirty:
+                    continue
+                left = True
+                if c.urgent:
+                    rank = (not job.aged, -job.spec.priority, job.rank, c.number)
+                    urgent.append((*rank, job, c))
+                elif now - c.dirty_since >= f.tuning.flush_done_s:
+                    idle.append((c.dirty_since, job, c))
+            if not left:
+                del f.dirty[job.id]
+        if len(pending.txn.writes) >= ops:
+            return
+        urgent.sort(key=lambda u: u[:4])
+        for *_, job, c in urgent:
+            if not self._add_chunk(pending, job, c, ops):
+                return
+        idle.sort(key=lambda i: i[0])
+        for _, job, c in idle:
+            if not self._add_chunk(pending, job, c, ops):
+                return
+
+    def _add_chunk(self, pending: PendingTxn, job: Job, c: Chunk, ops: int) -> bool:
+        """Returns whether the transaction may take more."""
+        txn = pending.txn
+        key = place_key(job.id, c.number)
+        if len(txn.writes) >= ops:
+            return False
+        if self._held(job, key):
+            return True
+        record = job.record(c)
+        size = len(orjson.dumps(record)) + 2 * len(key) + 60
+        if pending.size + size > TXN_BYTES:
+            return not pending.size
+        pending.size += size
+        txn.guards[key] = c.version
+        txn.writes.append(Put(key, record))
+        planned = [p for p in c.placements.values() if p.phase is Phase.PLANNED]
+        ended = [p for p in c.placements.values() if p.phase is Phase.ENDED]
+        c.dirty = c.urgent = False
+        pending.chunks.append((job, c, planned, ended))
+        return True
+
+    def _add_cleanups(self, pending: PendingTxn, ops: int) -> None:
+        txn = pending.txn
+        for job in self.cleaning.values():
+            left = ops - len(txn.writes)
+            if left < 2 and self._most_ops >= 2:
+                return
+            if self._held(job) or any(p.phase is not Phase.ENDED for p in job.placements()):
+                continue
+            stored = [c.number for c in job.chunks.values() if c.version]
+            final = len(stored) + 2 <= left
+            numbers = stored if final else stored[: max(0, left - 2)]
+            if not final and not numbers:
+                continue
+            txn.writes += [Drop(place_key(job.id, n)) for n in numbers]
+            if final:
+                txn.writes += [Drop(JOB + job.id), Drop(GONE + job.id)]
+            pending.cleanups.append((job, numbers, final))
+        while self.orphans and len(txn.writes) < ops:
+            key, version = self.orphans.pop()
+            txn.guards[key] = version
+            txn.writes.append(Drop(key))
+            pending.orphans.append((key, version))
+
+    # -- outcomes
+
+    def txn_done(
+        self, pending: PendingTxn, outcome: Outcome, revision: Revision, failed: tuple[str, ...],
+        now: Steady,
+    ) -> bool:  # fmt: skip
+        """Returns whether this leader is deposed."""
+        self._txn = None
+        self.outage = outcome in (Outcome.REFUSED, Outcome.UNKNOWN)
+        if self.outage:
+            self._pause = Steady(now + WRITE_PAUSE_S)
+        if outcome is Outcome.OK:
+            self._most_ops = min(self.f.settings.txn_ops, self._most_ops * 2)
+            self._committed(pending, revision, now)
+            return False
+        log.info(
+            "write not done outcome=%s failed=%s keys=%s",
+            outcome.value, failed, [w.key for w in pending.txn.writes],
+        )  # fmt: skip
+        for job, c, _, _ in pending.chunks:
+            self.f.jobs.touch(job, c, now, urgent=True)
+            self.f.dirty[job.id] = job
+        if outcome is Outcome.CONFLICT and LEAD_KEY in failed:
+            return True
+        if outcome in (Outcome.REFUSED, Outcome.MALFORMED):
+            for job, _ in pending.ends:
+                job.end_sent = job.end_unsure
+            self.orphans += pending.orphans
+            if outcome is Outcome.MALFORMED:
+                self._split(pending, now)
+            return False
+        # An earlier try of one of these writes was applied, or this one may be: only the keys
+        # themselves can tell their versions. An orphan's conflict means that it is gone.
+        for job, c, _, _ in pending.chunks:
+            self._unsure.add(place_key(job.id, c.number))
+        for job, _ in pending.ends:
+            # It may yet be applied, whatever a reread finds, and then be told elsewhere.
+            job.end_unsure = True
+            self._unsure.add(END + job.id)
+        self.reread |= self._unsure - self.reread_under_way
+        return False
+
+    def _split(self, pending: PendingTxn, now: Steady) -> None:
+        """Refused for what it is, by its size or by one bad key: repeated as it is, it would hold
+        everything back for ever. So it is cut in two until the job at fault stands alone."""
+        jobs = pending.jobs()
+        if len(jobs) > 1 and self._most_ops > 2:
+            self._most_ops = max(2, min(self._most_ops, len(pending.txn.writes)) // 2)
+            return
+        if not jobs:
+            self.orphans.clear()  # nobody misses them; a later leader may try again
+        for job in jobs:
+            log.error("record refused job=%s", job)
+            self._aside[job] = Steady(now + ASIDE_S)
+
+    def reread_done(self, key: str, item: Item | None, now: Steady) -> None:
+        self.reread.discard(key)
+        self._unsure.discard(key)
+        if key.startswith(END):
+            job = self.f.jobs.get(JobId(key[len(END) :]))
+            if job is None or job.ended is not None:
+                return
+            if item is not None:
+                self._ended(job, end_of(item.value), now)
+                self.cleaning[job.id] = job
+            return
+        job_id, _, number = key[len(PLACE) :].rpartition("/")
+        job = self.f.jobs.get(JobId(job_id))
+        if job is not None and int(number) in job.chunks:
+            job.chunks[int(number)].version = ABSENT if item is None else item.version
+
+    def _committed(self, pending: PendingTxn, revision: Revision, now: Steady) -> None:
+        f = self.f
+        for job, how in pending.ends:
+            self._ended(job, how, now)
+            self.cleaning[job.id] = job
+        for _, c, planned, ended in pending.chunks:
+            c.version = revision
+            for p in planned:
+                if p.phase is Phase.PLANNED:
+                    p.phase = Phase.WANTED
+                    m = f.fleet.get(p.machine)
+                    if m is not None:
+                        f.want(m)
+            for p in ended:
+                if c.placements.get(p.index) is p:
+                    del c.placements[p.index]
+                m = f.fleet.get(p.machine)
+                if m is not None:
+                    f.fleet.forget(m, p)
+                    f.want(m)  # what is recorded as done may be cleared there
+        for job, numbers, final in pending.cleanups:
+            for n in numbers:
+                if n in job.chunks:
+                    job.chunks[n].version = ABSENT
+            if final:
+                self.cleaning.pop(job.id, None)
+                f.jobs.remove(job)
+                for p in job.placements():
+                    m = f.fleet.get(p.machine)
+                    if m is not None:
+                        f.fleet.forget(m, p)
+                        f.want(m)
+
+    def _ended(self, job: Job, how: str, now: Steady) -> None:
+        f = self.f
+        job.ended = how
+        f.predictor.ended(job, how)
+        f.ending.pop(job.id, None)
+        if how == users.CANCELLED and not job.cancelled:
+            job.cancelled = True
+        f.stop_all(job, now)
+        self.finished.append((job.id, how))
+        f.plan_wanted = True
+        log.info("job ended job=%s how=%s seconds=%.1f", job.id, how, now - job.arrived)
+        if job.ran:
+            log.debug(
+                "run times job=%s class=%s estimate=%.1f n=%d %s",
+                job.id, job.spec.klass, job.spec.estimate_s, len(job.ran),
+                " ".join(f"{r:.1f}" for r in sorted(job.ran)[:: max(1, len(job.ran) // 8)]),
+            )  # fmt: skip
--- /dev/null
+++ b/src/eldercart/core/relay.py
@@ -0,0 +1,231 @@
+"""What a node does with the reports of its workers, as a state machine.
+
+Most reports tell nothing new. A relay answers those itself, under a grant of the leader, and hands
+the others to it; the leader's commands come back for that one report and go out as its response.
+A relay never keeps commands for a later report, so what holds with one node holds with several:
+one report is in flight, launches go only into its response, and the next newer report that the
+leader takes tells what became of them.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+from eldercart.units import Epoch, MachineId, NodeId, ReportOrder, Steady
+
+FORGET_S = 90.0  # after which a machine that reports elsewhere, or nowhere, is forgotten
+BOUNCE_S = 8.0  # a worker that was sent on and is back within this is kept
+SPARE_ROOM = 1.25  # times the fair share of workers before new ones are sent on
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Answered here: the epoch, and no commands."""
+
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """For the leader; `reply` says later what the worker gets."""
+
+
+@dataclass(frozen=True, slots=True)
+class Redirect:
+    to: NodeId | None
+
+
+@dataclass(frozen=True, slots=True)
+class Overtaken:
+    """Older than what was seen: a late copy. It proves nothing and renews nothing."""
+
+
+Decision = Answer | Forward | Redirect | Overtaken
+
+
+@dataclass(slots=True)
+class Known:
+    """What this relay knows of one machine."""
+
+    order: ReportOrder
+    seen: Steady
+    base: Any = None  # the tasks as the leader took them last; None: the next report goes to it
+    notice: bool = False
+    told: Epoch = Epoch(0)  # the epoch last answered with, here
+
+
+class Relay:
+    """Owns the grant and what is known per machine."""
+
+    def __init__(self, label: NodeId, grant_s: float, drift_margin: float) -> None:
+        self.label = label
+        self.epoch = Epoch(0)
+        self.leader: NodeId | None = None
+        self._grant_s = grant_s * (1.0 - drift_margin)
+        self._until = Steady(-1e9)
+        self._linked = Steady(-1e9)  # when the leader was last heard on the connection to it
+        self._most: int | None = None
+        self._spare: NodeId | None = None
+        self._known: dict[MachineId, Known] = {}
+        self._heard: dict[MachineId, ReportOrder] = {}
+        self._sent_on: dict[MachineId, Steady] = {}
+        self._sweep_due = Steady(-1e9)
+
+    # -- the grant
+
+    def granted(
+        self, epoch: Epoch, leader: NodeId, asked: Steady, now: Steady,
+        most: int | None = None, spare: NodeId | None = None,
+    ) -> None:  # fmt: skip
+        """The leader of `epoch` lets this node answer for it; counted from before it was asked."""
+        if epoch < self.epoch:
+            return
+        if epoch > self.epoch:
+            # Another leader knows nothing of what the last one took.
+            for known in self._known.values():
+                known.base = None
+            self._heard.clear()
+            self.epoch = epoch
+        self.leader = leader
+        self._until = Steady(max(self._until, asked + self._grant_s))
+        self._linked = now
+        self._most, self._spare = most, spare
+
+    def current(self, epoch: Epoch, seen: Steady) -> None:
+        """The state service shows that `epoch` still leads: what the leader took holds on. An
+        empty answer starts and stops nothing, so it needs no more than that."""
+        if epoch == self.epoch:
+            self._until = Steady(max(self._until, seen + self._grant_s))
+
+    def revoke(self) -> None:
+        self._until = Steady(-1e9)
+
+    def holds_grant(self, now: Steady) -> bool:
+        return now < self._until
+
+    @property
+    def machines(self) -> int:
+        return len(self._known)
+
+    # -- reports
+
+    def report(
+        self, machine: MachineId, order: ReportOrder, epoch: Epoch, notice: bool, tasks: Any,
+        now: Steady, reachable: bool,
+    ) -> Decision:  # fmt: skip
+        """`reachable`: whether a report can be handed to the leader now."""
+        known = self._known.get(machine)
+        if known is not None and order <= known.order:
+            return Overtaken()
+        if not self.holds_grant(now) or epoch > self.epoch:
+            # Not entitled to act. A 200 under an old epoch would hold the worker here while its
+            # lease runs out.
+            self._drop(machine)
+            leads = self.leader if epoch <= self.epoch else None
+            return Redirect(None if leads == self.label else leads)
+        if known is None:
+            if self._crowded(machine, now):
+                return Redirect(self._spare)
+            known = self._known[machine] = Known(order, now)
+        elif order.session != known.order.session:
+            known.base = None
+        known.order = order
+        known.seen = now
+        if epoch < self.epoch and known.told != self.epoch:
+            # It learns the epoch first; what it reports under the old one proves nothing.
+            known.told = self.epoch
+            return Answer(self.epoch)
+        unchanged = (
+            epoch == self.epoch
+            and known.base is not None
+            and known.notice is notice
+            and known.base == tasks
+        )
+        if unchanged:
+            if self._spare is not None and self._most == 0 and self._may_send_on(machine, now):
+                self._drop(machine)
+                return Redirect(self._spare)
+            self._heard[machine] = order
+            return Answer(self.epoch)
+        if not reachable:
+            if now - self._linked > self._grant_s / 3 and self.leader != self.label:
+                # It has something to tell, and the leader may well be there for it.
+                self._drop(machine)
+                return Redirect(self.leader)
+            known.base = None
+            return Answer(self.epoch)
+        known.base = None  # until the leader has answered, nobody knows what it took
+        return Forward()
+
+    def answered(
+        self, machine: MachineId, order: ReportOrder, notice: bool, tasks: Any, again: bool
+    ) -> None:
+        """The leader took this report. `again`: it answered with commands or waits for more, so
+        the next report goes to it even if it looks the same: a dropped launch shows only there."""
+        known = self._known.get(machine)
+        if known is not None and known.order == order:
+            known.base = None if again else tasks
+            known.notice = notice
+
+    def overtaken(self, machine: MachineId, order: ReportOrder) -> None:
+        """The leader knows something newer: what this node took for the machine was a copy."""
+        known = self._known.get(machine)
+        if known is not None and known.order == order:
+            self._drop(machine)
+
+    def unlinked(self) -> None:
+        """The connection to the leader is gone, and with it what the leader may have wanted."""
+        for known in self._known.values():
+            known.base = None
+
+    def want(self, machine: MachineId) -> None:
+        """The leader has something for the machine: its next report goes there."""
+        known = self._known.get(machine)
+        if known is not None:
+            known.base = None
+
+    def take_heard(self, now: Steady) -> tuple[tuple[MachineId, ReportOrder], ...]:
+        """Whom this node has answered by itself since it was asked last."""
+        if now >= self._sweep_due:
+            self._sweep_due = Steady(now + 5.0)
+            for machine in [m for m, k in self._known.items() if now - k.seen > FORGET_S]:
+                self._drop(machine)
+            self._sent_on = {m: t for m, t in self._sent_on.items() if now - t < BOUNCE_S}
+        heard, self._heard = self._heard, {}
+        return tuple(heard.items())
+
+    def _drop(self, machine: MachineId) -> None:
+        self._known.pop(machine, None)
+        self._heard.pop(machine, None)
+
+    def _may_send_on(self, machine: MachineId, now: Steady) -> bool:
+        if now - self._sent_on.get(machine, -1e9) < BOUNCE_S:
+            return False
+        self._sent_on[machine] = now
+        return True
+
+    def _crowded(self, machine: MachineId, now: Steady) -> bool:
+        if self._most is None or self._spare is None or len(self._known) < self._most:
+            return False
+        return self._may_send_on(machine, now)
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    most: int
+    spare: NodeId | None
+
+
+def shares(counts: dict[NodeId, int], leader: NodeId, sockets: int) -> dict[NodeId, Share]:
+    """How many workers each node should have at most, and where the rest should go. The leader
+    has enough to do: it takes none as long as another node is there."""
+    others = {n: c for n, c in counts.items() if n != leader}
+    if not others:
+        return {leader: Share(sockets, None)}
+    fair = sum(counts.values()) / len(others)
+    most = min(sockets, int(fair * SPARE_ROOM) + 4)
+    spare = min(others, key=lambda n: (others[n], n))
+    out = {leader: Share(0, spare)}
+    for node in others:
+        target = spare if node != spare else None
+        out[node] = Share(most, target)
+    return out
--- a/src/eldercart/election/__init__.py
+++ b/src/eldercart/election/__init__.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from eldercart.units import ABSENT, Epoch, LeaseId, NodeId, Revision, Steady
+from eldercart.units import ABSENT, ONLY_LIFE, Epoch, LeaseId, LifeId, NodeId, Revision, Steady
 from eldercart.wire.state import Item, Put, Txn
 
 LEAD_KEY = "lead"
@@ -50,8 +50,11 @@
 class Election:
     """One action is in flight at a time: `next_action`, carry it out, report its result."""
 
-    def __init__(self, label: NodeId, hold_s: float, drift_margin: float) -> None:
+    def __init__(
+        self, label: NodeId, hold_s: float, drift_margin: float, life: LifeId = ONLY_LIFE
+    ) -> None:
         self.label = label
+        self.life = life  # of this start: a claim of an earlier one may still be carried out
         self.role = Role.FOLLOWER
         self.epoch = Epoch(0)
         self.leader: NodeId | None = None
@@ -88,6 +91,12 @@
         self._read_due = now
         return False
 
+    def heard_leader(self, leader: NodeId, epoch: Epoch) -> None:
+        """The leader of `epoch` says so itself: as good as a read of the key, and sooner."""
+        if self.role is Role.FOLLOWER and epoch >= self.epoch:
+            self.epoch = epoch
+            self.leader = leader
+
     def deposed(self, now: Steady) -> None:
         """A write guarded on the leader key failed on that guard."""
         if self.role is Role.LEADER:
@@ -118,7 +127,10 @@
         if self._absent:
             if self._hold is None or now >= self._deadline:
                 return OpenHold(self._life)
-            txn = Txn({LEAD_KEY: ABSENT}, [Put(LEAD_KEY, {"node": self.label}, self._hold)])
+            txn = Txn(
+                {LEAD_KEY: ABSENT},
+                [Put(LEAD_KEY, {"node": self.label, "life": self.life}, self._hold)],
+            )
             return Claim(txn)
         if now >= self._read_due:
             return ReadLead()
@@ -151,7 +163,9 @@
             return
         node = item.value.get("node") if isinstance(item.value, dict) else None
         if node == self.label:
-            if self._hold is not None and item.lease == self._hold and now < self._deadline:
+            mine = isinstance(item.value, dict) and item.value.get("life") == self.life
+            held = self._hold is not None and item.lease == self._hold
+            if mine and held and now < self._deadline:
                 self._lead(Epoch(item.version), now)  # a claim whose response was lost
             elif item.lease is not None:
                 # Left by an earlier life of this process: nobody leads under it any more.
--- a/src/eldercart/net/client.py
+++ b/src/eldercart/net/client.py
@@ -42,10 +42,7 @@
         self._most = most
         self._open = 0
 
-    def request(
-        self, method: bytes, address: str, path: str, body: bytes | None,
-        answer: Callable[[bytes], None],
-    ) -> None:  # fmt: skip
+    def request(self, address: str, path: str, answer: Callable[[bytes], None]) -> None:
         """`answer(body)` for a 200 only."""
         if self._open >= self._most:
             return  # hung machines must not eat the sockets; they will report by themselves
@@ -57,7 +54,7 @@
                 answer(data)
 
         uri = f"http://{address}{path}".encode()
-        _send(self._agent, method, uri, body, 2.0, over, {b"Connection": [b"close"]})
+        _send(self._agent, b"GET", uri, None, 2.0, over, {b"Connection": [b"close"]})
 
 
 def _send(
--- /dev/null
+++ b/src/eldercart/net/front.py
@@ -0,0 +1,258 @@
+"""What users and the load balancer ask of this node."""
+
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from eldercart.core import placement as rules
+from eldercart.core.jobs import END, JOB, chunk_size, end_of, job_record
+from eldercart.net.server import JsonRequest
+from eldercart.net.store import FOR_ACCEPTING, FOR_POLLS
+from eldercart.units import ABSENT, JobId, Revision, WallTime
+from eldercart.wire import Malformed, peers, users
+from eldercart.wire.checks import load_object
+from eldercart.wire.state import Item, Put, Txn
+from eldercart.wire.users import JobSpec
+
+if TYPE_CHECKING:
+    from eldercart.net.node import Node
+
+RETRY_S = 2  # a change of leader or a short outage is over by then, often
+
+
+class Front:
+    """Owns the known final states and the count of requests under way."""
+
+    def __init__(self, node: "Node") -> None:
+        self.node = node
+        self._finals: OrderedDict[JobId, str] = OrderedDict()
+        self._busy = 0
+
+    def route(self, request: JsonRequest) -> None:
+        path, method = request.path, request.method
+        if path == b"/v1/report":
+            if method != b"POST":
+                request.reply(405, users.error_body("method"))
+                return
+            self.node.relaying.report(request)
+        elif path == b"/healthz":
+            healthy = self.node.healthy()
+            request.reply(200 if healthy else 503, b"{}", None if healthy else RETRY_S)
+        elif path == b"/work":
+            if method != b"POST":
+                request.reply(405, users.error_body("method"))
+                return
+            self._guarded(request, self._submit)
+        elif path.startswith(b"/work/"):
+            rest = path[6:]
+            if rest.endswith(b"/cancel"):
+                name, expected, serve = rest[:-7], b"POST", self._cancel
+            else:
+                name, expected, serve = rest, b"GET", self._poll
+            job = name.decode("latin-1")
+            if method != expected:
+                request.reply(405, users.error_body("method"))
+            elif not users.valid_job_id(job):
+                request.reply(404, users.error_body("no such job"))
+            else:
+                self._guarded(request, lambda r: serve(r, JobId(job)))
+        elif path == b"/status" and method == b"GET":
+            request.reply(200, self.node.status_page())
+        else:
+            request.reply(404, users.error_body("no such path"))
+
+    def _guarded(self, request: JsonRequest, serve: Callable[[JsonRequest], None]) -> None:
+        """Bounds the requests under way; beyond that they are refused at once."""
+        if self._busy >= self.node.tuning.pending_requests:
+            request.reply(503, users.error_body("overloaded"), RETRY_S)
+            return
+        self._busy += 1
+
+        def over(_: Any) -> None:
+            self._busy -= 1
+
+        request.notifyFinish().addBoth(over)
+        serve(request)
+
+    # -- final states
+
+    def final_of(self, job: JobId) -> str | None:
+        return self._finals.get(job)
+
+    def final(self, job: JobId, how: str) -> None:
+        """An end never changes, so it may be cached."""
+        self._finals[job] = how
+        while len(self._finals) > self.node.tuning.final_cache:
+            self._finals.popitem(last=False)
+
+    # -- submissions
+
+    def _submit(self, request: JsonRequest) -> None:
+        node = self.node
+        try:
+            obj = load_object(request.body())
+            job = users.job_id_of(obj)
+        except Malformed as err:
+            request.reply(400, users.error_body(f"malformed: {err}"))
+            return
+        how = self._finals.get(job)
+        if how is not None:
+            request.reply(200, users.state_body(job, how))
+            return
+        refusal: tuple[int, str] | None = None
+        spec: JobSpec | None = None
+        try:
+            spec = users.parse_submission(obj)
+        except Malformed as err:
+            refusal = (400, f"malformed: {err}")
+        if spec is not None:
+            if spec.team not in node.settings.teams:
+                refusal = (422, "unknown team")
+            elif not node.types:
+                request.reply(503, users.error_body("machine types unknown"), RETRY_S)
+                return
+            else:
+                why = rules.never_runs(spec, node.types, node.settings.teams)
+                refusal = None if why is None else (422, why)
+        if refusal is not None or spec is None:
+            # A repeat of an accepted job gets its state, whatever the body says now.
+            status, message = refusal or (400, "malformed")
+            self.look_up(
+                job,
+                found=lambda state: request.reply(200, users.state_body(job, state)),
+                absent=lambda: request.reply(status, users.error_body(message)),
+                failed=lambda: request.reply(503, users.error_body("cannot tell"), RETRY_S),
+            )
+            return
+        self._accept(request, spec)
+
+    def _accept(self, request: JsonRequest, spec: JobSpec) -> None:
+        node = self.node
+        now = node.clock()
+        store = node.store
+        if node.lag > node.tuning.lag_s:
+            # Answers that keep leases alive come first; what can't be taken is said at once.
+            request.reply(503, users.error_body("overloaded"), RETRY_S)
+            return
+        if store.writes.available(now, FOR_ACCEPTING) < 1 or not store.requests.take(
+            now, 1, FOR_ACCEPTING
+        ):
+            request.reply(503, users.error_body("too many submissions"), RETRY_S)
+            return
+        store.writes.force(now)
+        job = spec.id
+        size = chunk_size(node.settings.value_bytes)
+        at = WallTime(time.time())
+        record = job_record(spec, size, at)
+        txn = Txn({JOB + job: ABSENT, END + job: ABSENT}, [Put(JOB + job, record)])
+
+        def done(status: int | None, revision: Revision, failed: tuple[str, ...]) -> None:
+            if status == 200:
+                request.reply(201, users.state_body(job, users.PENDING))
+                c = node.leading.controller
+                if c is not None:
+                    c.add_job(spec, size, at, node.clock())
+                    node.leading.pump_soon()
+            elif status == 409 and END + job not in failed:
+                # The job is there and has not ended, as of this very transaction.
+                request.reply(200, users.state_body(job, users.PENDING))
+            elif status == 409 or status is None:
+                self.look_up(
+                    job,
+                    found=lambda s: request.reply(200 if status else 201, users.state_body(job, s)),
+                    absent=lambda: request.reply(503, users.error_body("try again"), 1),
+                    failed=lambda: request.reply(503, users.error_body("cannot tell"), RETRY_S),
+                )
+            else:
+                request.reply(503, users.error_body("cannot store it now"), RETRY_S)
+
+        store.txn(txn, done)
+
+    def look_up(
+        self,
+        job: JobId,
+        found: Callable[[str], Any],
+        absent: Callable[[], Any],
+        failed: Callable[[], Any],
+    ) -> None:
+        """A fresh read of the state service: first the job's record, then its end, since at the
+        end the record goes and the end appears in one transaction."""
+        store = self.node.store
+
+        def got_job(ok: bool, item: Item | None) -> None:
+            if not ok:
+                failed()
+                return
+            open_ = item is not None
+            if item is not None:
+                self.node.leading.learn(item)
+            store.get(END + job, lambda ok, end: got_end(ok, end, open_))
+
+        def got_end(ok: bool, end: Item | None, open_: bool) -> None:
+            if not ok:
+                failed()
+            elif end is not None:
+                how = end_of(end.value)
+                self.final(job, how)
+                found(how)
+            elif open_:
+                found(users.PENDING)
+            else:
+                absent()
+
+        if store.requests.available(self.node.clock(), FOR_POLLS) < 2:
+            failed()
+            return
+        store.get(JOB + job, got_job)
+
+    # -- polls and cancellations
+
+    def _poll(self, request: JsonRequest, job: JobId) -> None:
+        def fresh() -> None:
+            self.look_up(
+                job,
+                found=lambda state: request.reply(200, users.state_body(job, state, 0, 0)),
+                absent=lambda: request.reply(404, users.error_body("no such job")),
+                failed=lambda: request.reply(503, users.error_body("cannot tell now"), RETRY_S),
+            )
+
+        def answered(told: peers.Told | None) -> None:
+            if told is None or told.verdict in (peers.NOT_LEADER, peers.UNKNOWN):
+                fresh()
+            elif told.verdict == peers.UNDECIDED:
+                request.reply(503, users.error_body("ending"), 1)
+            else:
+                if told.verdict in (users.DONE, users.CANCELLED):
+                    self.final(job, told.verdict)
+                body = users.state_body(job, told.verdict, told.done, told.running)
+                request.reply(200, body)
+
+        how = self._finals.get(job)
+        if how is not None:
+            request.reply(200, users.state_body(job, how, 0, 0))
+        elif self.node.leading.controller is not None:
+            answered(self.node.leading.tell(0, job))
+        elif not self.node.relaying.poll(job, answered):
+            fresh()
+
+    def _cancel(self, request: JsonRequest, job: JobId) -> None:
+        def answered(verdict: str) -> None:
+            if verdict in (users.DONE, users.CANCELLED):
+                self.final(job, verdict)
+                request.reply(200, users.state_body(job, verdict))
+            elif verdict == peers.UNKNOWN:
+                request.reply(404, users.error_body("no such job"))
+            else:
+                request.reply(503, users.error_body("no leader now"), 1)
+
+        def told(answer: peers.Told | None) -> None:
+            answered("none" if answer is None else answer.verdict)
+
+        how = self._finals.get(job)
+        if how is not None:
+            answered(how)
+        elif self.node.leading.controller is not None:
+            self.node.leading.cancel(job, answered)
+        elif not self.node.relaying.cancel(job, told):
+            answered("none")
--- /dev/null
+++ b/src/eldercart/net/leading.py
@@ -0,0 +1,436 @@
+"""What the leader's node does for the core: carries out its writes and cloud calls, hands in
+reports and questions, and watches the job records that other nodes create."""
+
+import gc
+import logging
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import reactor as _reactor
+
+from eldercart.core.controller import (
+    Controller,
+    GetCatalog,
+    JobStatus,
+    ListPage,
+    Outcome,
+    PendingTxn,
+    Rent,
+    Verdict,
+)
+from eldercart.core.controller import Delete as DeleteCall
+from eldercart.core.jobs import GONE, JOB, PLACE
+from eldercart.election import LEAD_KEY, Role
+from eldercart.net.buckets import Bucket
+from eldercart.net.client import HttpClient, WorkerClient
+from eldercart.net.store import FOR_ENDS, FOR_PLACING
+from eldercart.units import Epoch, JobId, MachineId, NodeId, ReportOrder, Revision, Steady, WallTime
+from eldercart.wire import Malformed, cloud, peers, users, workers
+from eldercart.wire.checks import load_object
+from eldercart.wire.cloud import MachineType
+from eldercart.wire.state import Item, Put, Txn
+
+if TYPE_CHECKING:
+    from eldercart.net.node import Node
+
+reactor: Any = _reactor
+log = logging.getLogger("eldercart.node")
+
+CATALOG_KEY = "catalog"
+CANCEL_WAIT_S = 1.5
+PUMP_S = 0.02  # in which events gather before what follows from them is looked for
+
+
+class Leading:
+    """Owns the controller, which is there while this node leads and has read the records."""
+
+    def __init__(self, node: "Node") -> None:
+        self.node = node
+        self.controller: Controller | None = None
+        self._life = 0  # counts leaderships: answers to an earlier one's calls are dropped
+        self._waiting: dict[JobId, list[Callable[[str], None]]] = {}
+        s = node.settings
+        self._cloud = HttpClient(s.cloud, 2.0, 6)
+        self._workers = WorkerClient(max(4, s.sockets // 20))
+        rate = 0.9 * s.cloud_rps
+        self._cloud_tokens = Bucket(rate, max(1.0, rate), node.clock())
+        self._pump_set = False
+
+    @property
+    def acts(self) -> bool:
+        return self.controller is not None and self.node.election.role is Role.LEADER
+
+    # -- life
+
+    def begin(self) -> None:
+        """Elected: read all records, then act."""
+        node = self.node
+        self._life += 1
+        life = self._life
+        self.controller = None
+        node.store.set_leader(True)
+        epoch = node.election.epoch
+        log.info("elected epoch=%d", epoch)
+        parts: dict[str, list[Item]] = {}
+        since: list[Revision] = []
+        prefixes: list[str] = [CATALOG_KEY, JOB, PLACE, GONE]
+
+        def read() -> None:
+            if life != self._life:
+                return
+            prefix = prefixes[len(parts)]
+            node.store.range(prefix, lambda items, rev: got(prefix, items, rev))
+
+        def got(prefix: str, items: list[Item] | None, revision: Revision) -> None:
+            if life != self._life:
+                return
+            if items is None:
+                reactor.callLater(0.5, read)
+                return
+            parts[prefix] = items
+            if prefix == JOB:
+                since.append(revision)
+            if len(parts) < len(prefixes):
+                read()
+            else:
+                finish()
+
+        def finish() -> None:
+            now = node.clock()
+            for item in parts[CATALOG_KEY]:
+                node.take_types(item)
+            c = Controller(
+                node.settings, node.tuning, epoch, dict(node.types), now, WallTime(time.time()),
+                node.life,
+            )  # fmt: skip
+            c.load(parts[JOB], parts[PLACE], parts[GONE], now)
+            gc.collect()
+            gc.freeze()
+            self.controller = c
+            self._watch_jobs(life, since[0])
+            self.pump()
+
+        read()
+
+    def end(self, why: str) -> None:
+        if self.controller is not None:
+            log.info("deposed epoch=%d why=%s", self.node.election.epoch, why)
+        self._life += 1
+        self.controller = None
+        gc.unfreeze()
+        self.node.store.set_leader(False)
+        self._waiting.clear()
+        self.node.relaying.relay.revoke()
+
+    def tick(self, now: Steady) -> None:
+        c = self.controller
+        if c is None:
+            return
+        c.tick(now)
+        if c.plan_due(now):
+            c.plan(now)
+            took = self.node.clock() - now
+            c.planner.cost(took)
+            self.node.meters.add("plan", took)
+        self.pump()
+
+    # -- job records
+
+    def _watch_jobs(self, life: int, after: Revision) -> None:
+        if life != self._life:
+            return
+
+        def got(status: int | None, revision: Revision, events: list[Any]) -> None:
+            if life != self._life or self.controller is None:
+                return
+            if status == 200:
+                for event in events:
+                    if isinstance(event, Item):
+                        self.learn(event)
+                if events:
+                    self.pump_soon()
+                self._watch_jobs(life, revision)
+            elif status == 410:
+                self._reread_jobs(life)
+            else:
+                reactor.callLater(0.5, self._watch_jobs, life, after)
+
+        self.node.store.watch(JOB, after, 10.0, got)
+
+    def learn(self, item: Item) -> None:
+        c = self.controller
+        job = JobId(item.key[len(JOB) :])
+        if c is not None and self.node.front.final_of(job) is None:
+            c.learn_job(item, self.node.clock())
+
+    def _reread_jobs(self, life: int) -> None:
+        def got(items: list[Item] | None, revision: Revision) -> None:
+            if life != self._life:
+                return
+            if items is None:
+                reactor.callLater(0.5, self._reread_jobs, life)
+                return
+            for item in items:
+                self.learn(item)
+            self._watch_jobs(life, revision)
+
+        self.node.store.range(JOB, got)
+
+    # -- what follows from events
+
+    def pump_soon(self) -> None:
+        if not self._pump_set:
+            self._pump_set = True
+            reactor.callLater(PUMP_S, self._pump_now)
+
+    def _pump_now(self) -> None:
+        self._pump_set = False
+        self.pump()
+
+    def pump(self) -> None:
+        c = self.controller
+        if c is None:
+            return
+        node = self.node
+        now = node.clock()
+        for job, how in c.take_finished():
+            node.front.final(job, how)
+            for waiter in self._waiting.pop(job, ()):
+                waiter(how)
+        for key in list(c.reread):
+            if node.store.requests.take(now):
+                self._reread(c, key)
+        if node.store.requests.available(now, FOR_ENDS) >= 1:
+            reserve = FOR_ENDS if c.ends_waiting else FOR_PLACING
+            ops = node.store.writes.available(now, reserve)
+            pending = c.next_txn(now, ops)
+            if pending is not None:
+                self._write(c, pending, now)
+        for machine, address in c.take_probes():
+            self._probe(c, machine, address)
+        if c.cloud.catalog_changed:
+            self._store_types(c)
+        while self._cloud_tokens.available(now) >= 1:
+            call = c.next_cloud(now)
+            if call is None:
+                break
+            self._cloud_tokens.take(now)
+            self._call_cloud(c, call)
+        wants = c.take_wants()
+        if wants:
+            node.relaying.send_wants(wants)
+        for wait in c.take_start_waits():
+            node.meters.add("start_wait", wait)
+
+    def _probe(self, c: Controller, machine: MachineId, address: str) -> None:
+        """`/show` tells whether a machine lives that nothing is heard of. What it lists is not
+        read: it may cross the response to a report and lack what that response launches."""
+        life = self._life
+
+        def shown(data: bytes) -> None:
+            if life != self._life:
+                return
+            try:
+                report = workers.parse_report(load_object(data))
+            except Malformed as err:
+                log.error("report malformed address=%s: %s", address, err)
+                return
+            if report.machine == machine:
+                c.shown(machine, self.node.clock())
+
+        self._workers.request(address, "/show", shown)
+
+    def _write(self, c: Controller, pending: PendingTxn, now: Steady) -> None:
+        store = self.node.store
+        store.requests.force(now)
+        store.writes.force(now, len(pending.txn.writes))
+        life = self._life
+
+        def done(status: int | None, revision: Revision, failed: tuple[str, ...]) -> None:
+            if life != self._life:
+                return
+            if status == 200:
+                outcome = Outcome.OK
+            elif status == 409:
+                outcome = Outcome.CONFLICT
+            elif status in (429, 503):
+                outcome = Outcome.REFUSED
+            elif status in (400, 413):
+                log.error("transaction answered %d: %s", status, pending.txn.body()[:300])
+                outcome = Outcome.MALFORMED
+            else:
+                if status is not None:
+                    log.error("transaction answered %d: %s", status, pending.txn.body()[:300])
+                outcome = Outcome.UNKNOWN
+            at = self.node.clock()
+            self.node.meters.add("write", at - now)
+            if c.txn_done(pending, outcome, revision, failed, at):
+                self.node.deposed("write refused by the leader key")
+            else:
+                self.pump()
+
+        store.txn(pending.txn, done)
+
+    def _reread(self, c: Controller, key: str) -> None:
+        c.reread_under_way.add(key)
+        c.reread.discard(key)
+        life = self._life
+
+        def done(ok: bool, item: Item | None) -> None:
+            if life != self._life:
+                return
+            c.reread_under_way.discard(key)
+            if ok:
+                c.reread_done(key, item, self.node.clock())
+            else:
+                c.reread.add(key)
+
+        self.node.store.get(key, done)
+
+    def _call_cloud(self, c: Controller, call: Any) -> None:
+        life = self._life
+
+        def done(status: int | None, data: bytes) -> None:
+            if life == self._life:
+                c.cloud_done(call, status, data, self.node.clock())
+                self.pump_soon()
+
+        match call:
+            case Rent(hire):
+                o = hire.offer
+                body = cloud.rent_body(hire.request, o.type, o.zone, o.spot, hire.number)
+                self._cloud.request(b"POST", "/machines", body, 5.0, done)
+            case DeleteCall(machines):
+                body = cloud.delete_body(list(machines))
+                self._cloud.request(b"POST", "/machines/delete", body, 5.0, done)
+            case ListPage(after):
+                self._cloud.request(b"GET", cloud.list_path(after), None, 5.0, done)
+            case GetCatalog():
+                self._cloud.request(b"GET", "/catalog", None, 5.0, done)
+
+    def _store_types(self, c: Controller) -> None:
+        """Kept for the nodes that must decide while the cloud is down. Prices move all the time
+        and are not worth a write."""
+
+        def shape(types: dict[str, MachineType]) -> Any:
+            return [(t.name, t.cpus, t.gpus, t.memory_gb, t.zones) for t in types.values()]
+
+        node = self.node
+        c.cloud.catalog_changed = False
+        stored = shape(node.types)
+        node.types = dict(c.floor.types)
+        if shape(c.floor.types) == stored:
+            return
+        now = node.clock()
+        node.store.requests.force(now)
+        node.store.writes.force(now)
+        value = cloud.catalog_record(c.floor.types)
+        txn = Txn({LEAD_KEY: Revision(c.epoch)}, [Put(CATALOG_KEY, value)])
+
+        def done(status: int | None, revision: Revision, failed: tuple[str, ...]) -> None:
+            if status != 200 and self.controller is c:
+                node.types = {}
+                c.cloud.catalog_changed = True
+
+        node.store.txn(txn, done)
+
+    # -- reports
+
+    def take_raw(
+        self, obj: dict[str, Any], epoch: Epoch, relay: NodeId, now: Steady
+    ) -> tuple[list[dict[str, Any]] | None, bool]:
+        c = self.controller
+        if c is None or not self.acts or epoch != c.epoch:
+            return [], True  # nothing is known of it here: the next one is wanted, too
+        try:
+            report = workers.parse_report(obj)
+        except Malformed as err:
+            log.error("report malformed: %s", err)
+            return None, True
+        return self.take_report(report, relay, now)
+
+    def take_report(
+        self, report: workers.Report, relay: NodeId, now: Steady
+    ) -> tuple[list[dict[str, Any]] | None, bool]:
+        """The commands for the worker, and whether its next report is wanted whatever it tells."""
+        c = self.controller
+        if c is None or report.epoch > c.epoch:
+            return [], True
+        commands = c.on_report(report, now, relay)
+        if commands is None:
+            return None, False
+        self.node.meters.add("report", self.node.clock() - now)
+        return workers.command_objects(commands), c.wants_next(report.machine)
+
+    def heard(
+        self, relay: NodeId, orders: tuple[tuple[MachineId, ReportOrder], ...], now: Steady
+    ) -> None:
+        if self.controller is not None:
+            self.controller.heard(relay, orders, now)
+
+    def relay_lost(self, relay: NodeId) -> None:
+        if self.controller is not None:
+            self.controller.relay_lost(relay)
+
+    def undelivered(self, machine: MachineId) -> None:
+        if self.controller is not None:
+            self.controller.undelivered(machine)
+
+    # -- users
+
+    def tell(self, number: int, job: JobId) -> peers.Told:
+        """The leader's answer; only within its hold is a state that may change told."""
+        how = self.node.front.final_of(job)
+        if how is not None:
+            return peers.Told(number, how, 0, 0)
+        c = self.controller
+        if c is None or not self.node.election.within_lease(self.node.clock()):
+            return peers.Told(number, peers.NOT_LEADER, 0, 0)
+        status = c.status(job)
+        if isinstance(status, JobStatus):
+            return peers.Told(number, status.state, status.done, status.running)
+        undecided = status is Verdict.UNDECIDED
+        return peers.Told(number, peers.UNDECIDED if undecided else peers.UNKNOWN, 0, 0)
+
+    def cancel(self, job: JobId, answer: Callable[[str], None]) -> None:
+        c = self.controller
+        how = self.node.front.final_of(job)
+        if how is not None or c is None:
+            answer(how or peers.NOT_LEADER)
+            return
+        verdict = c.cancel(job, self.node.clock())
+        if verdict is Verdict.UNKNOWN_JOB:
+            # The watch may lag behind another node's acceptance: the look-up teaches the job.
+            def found(state: str) -> None:
+                if state in (users.DONE, users.CANCELLED):
+                    answer(state)
+                elif self.controller is not None and self.controller.jobs.get(job) is not None:
+                    self.cancel(job, answer)
+                else:
+                    answer(peers.UNDECIDED)
+
+            self.node.front.look_up(
+                job, found, lambda: answer(peers.UNKNOWN), lambda: answer(peers.UNDECIDED)
+            )
+            return
+        if isinstance(verdict, str):
+            answer(verdict)
+            return
+        # The end must be durable before it is told; that takes one write.
+        waiter = _Once(answer)
+        self._waiting.setdefault(job, []).append(waiter)
+        reactor.callLater(CANCEL_WAIT_S, waiter, peers.UNDECIDED)
+        self.pump()
+
+
+class _Once:
+    """A waiter that answers once, by the end or by its time-out."""
+
+    def __init__(self, answer: Callable[[str], None]) -> None:
+        self._answer: Callable[[str], None] | None = answer
+
+    def __call__(self, verdict: str) -> None:
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            answer(verdict)
--- a/src/eldercart/net/store.py
+++ b/src/eldercart/net/store.py
@@ -31,13 +31,13 @@
     def set_leader(self, leader: bool) -> None:
         """The leader writes most; the others need enough to accept and to answer."""
         nodes = self._settings.nodes
-        share = 1.0 if nodes == 1 else (0.6 if leader else 0.4 / (nodes - 1))
         now = self._clock()
         # Below the limit, and half of its burst: two clocks never agree on where a second ends.
-        for bucket, rate in (
-            (self.requests, self._settings.state_rps),
-            (self.writes, self._settings.state_write_rps),
+        for bucket, rate, most in (
+            (self.requests, self._settings.state_rps, 0.6),
+            (self.writes, self._settings.state_write_rps, 0.7),
         ):
+            share = 1.0 if nodes == 1 else (most if leader else (1.0 - most) / (nodes - 1))
             bucket.set_rate(0.92 * rate * share, max(3.0, 0.8 * rate * share), now)
 
     def _call(
--- a/src/eldercart/wire/peers.py
+++ b/src/eldercart/wire/peers.py
@@ -1,62 +1,187 @@
-"""What controller nodes say to each other."""
+"""What controller nodes say to each other: frames of one JSON object each.
+
+A node keeps a connection to every other one. It greets, and when the other leads it passes on
+what its workers and users ask; the other answers on the same connection. A frame belongs to its
+connection, so to one start of each of the two processes: what an earlier start was sent can't
+reach a later one.
+"""
 
 from dataclasses import dataclass
 from typing import Any
 
 import orjson
 
-from eldercart.units import Epoch, NodeId
-from eldercart.wire.checks import count, load_object, text
+from eldercart.units import Epoch, MachineId, NodeId, ReportOrder, Session
+from eldercart.wire.checks import Malformed, count, load_answer, objects, text
+
+MAX_FRAME = 4 * 1024 * 1024
+
+# Kinds of frames: asked by the one that connected …
+GREET, REPORTS, POLLS, CANCEL = "greet", "reports", "polls", "cancel"
+DROPPED = "dropped"  # machines whose answers came too late to be passed on
+# … and told by the one that was connected to.
+GREETED, ANSWERS, STATES, CANCELLED, WANT = "greeted", "answers", "states", "cancelled", "want"
 
-POLL, CANCEL, HELLO = "poll", "cancel", "hello"
+UNKNOWN, UNDECIDED, NOT_LEADER = "unknown", "undecided", "not_leader"
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
-    op: str
-    job: str
-    epoch: Epoch
+class Greet:
     sender: NodeId
+    number: int  # comes back in the answer, which counts from when this was sent
+    epoch: Epoch
+    store_ok: bool
+    machines: int  # workers that report to the sender
+    heard: tuple[tuple[MachineId, ReportOrder], ...]  # answered by the sender itself
 
 
-def ask_body(op: str, job: str, epoch: Epoch, sender: NodeId) -> bytes:
-    return orjson.dumps({"op": op, "job": job, "epoch": epoch, "from": sender})
+@dataclass(frozen=True, slots=True)
+class Greeted:
+    number: int
+    epoch: Epoch
+    leads: bool  # a grant to answer workers under `epoch`
+    store_ok: bool
+    most: int  # workers the asker should have at most
+    spare: NodeId | None  # where to send those beyond it
 
 
-def parse_ask(body: bytes) -> Ask:
-    obj = load_object(body)
-    return Ask(
-        text(obj, "op"),
-        obj["job"] if isinstance(obj.get("job"), str) else "",
-        Epoch(count(obj, "epoch")),
-        NodeId(text(obj, "from")),
-    )
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The leader's answer to one forwarded report; `calls` None: the report is overtaken."""
+
+    number: int
+    calls: list[dict[str, Any]] | None
+    again: bool  # the machine's next report is wanted, too
 
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """`verdict`: a state, or "unknown", "undecided", "not_leader"."""
+    """A job's state, or UNKNOWN, UNDECIDED, NOT_LEADER."""
 
+    number: int
     verdict: str
-    epoch: Epoch
     done: int
     running: int
-    store_ok: bool
 
 
-def told_body(verdict: str, epoch: Epoch, store_ok: bool, done: int = 0, running: int = 0) -> bytes:
-    body: dict[str, Any] = {
-        "verdict": verdict, "epoch": epoch, "store": store_ok, "done": done, "running": running,
-    }  # fmt: skip
-    return orjson.dumps(body)
+def kind_of(frame: dict[str, Any]) -> str:
+    return text(frame, "k")
+
+
+def parse(data: bytes) -> dict[str, Any]:
+    return load_answer(data)
+
+
+def greet(g: Greet) -> bytes:
+    heard = [[m, o.session, o.sequence] for m, o in g.heard]
+    return orjson.dumps(
+        {"k": GREET, "from": g.sender, "n": g.number, "epoch": g.epoch, "store": g.store_ok,
+         "machines": g.machines, "heard": heard}
+    )  # fmt: skip
+
+
+def parse_greet(frame: dict[str, Any]) -> Greet:
+    heard = frame.get("heard")
+    if not isinstance(heard, list):
+        raise Malformed("heard")
+    try:
+        orders = tuple((MachineId(m), ReportOrder(Session(s + 0), q + 0)) for m, s, q in heard)
+    except (TypeError, ValueError):
+        raise Malformed("heard") from None
+    return Greet(
+        NodeId(text(frame, "from")), count(frame, "n"), Epoch(count(frame, "epoch")),
+        frame.get("store") is True, count(frame, "machines"), orders,
+    )  # fmt: skip
+
+
+def greeted(g: Greeted) -> bytes:
+    return orjson.dumps(
+        {"k": GREETED, "n": g.number, "epoch": g.epoch, "leads": g.leads, "store": g.store_ok,
+         "most": g.most, "spare": g.spare}
+    )  # fmt: skip
+
+
+def parse_greeted(frame: dict[str, Any]) -> Greeted:
+    spare = frame.get("spare")
+    return Greeted(
+        count(frame, "n"), Epoch(count(frame, "epoch")), frame.get("leads") is True,
+        frame.get("store") is True, count(frame, "most"),
+        NodeId(spare) if isinstance(spare, str) else None,
+    )  # fmt: skip
+
+
+def reports(epoch: Epoch, items: list[tuple[int, bytes]]) -> bytes:
+    """The reports go on as they came, without being written anew."""
+    inner = b",".join(b"[%d,%b]" % (number, body) for number, body in items)
+    return b'{"k":"%b","epoch":%d,"i":[%b]}' % (REPORTS.encode(), epoch, inner)
+
+
+def parse_reports(frame: dict[str, Any]) -> tuple[Epoch, list[tuple[int, dict[str, Any]]]]:
+    return Epoch(count(frame, "epoch")), [
+        (number, body) for number, body in _pairs(frame) if isinstance(body, dict)
+    ]
+
+
+def _pairs(frame: dict[str, Any]) -> list[tuple[int, Any]]:
+    items = frame.get("i")
+    if not isinstance(items, list):
+        raise Malformed("i")
+    for item in items:
+        if not isinstance(item, list) or len(item) != 2 or type(item[0]) is not int:
+            raise Malformed("i")
+    return [(item[0], item[1]) for item in items]
+
+
+def answers(items: list[Answer]) -> bytes:
+    return orjson.dumps({"k": ANSWERS, "i": [[a.number, a.calls, a.again] for a in items]})
+
+
+def parse_answers(frame: dict[str, Any]) -> list[Answer]:
+    items = frame.get("i")
+    if not isinstance(items, list):
+        raise Malformed("i")
+    out = []
+    for item in items:
+        if not isinstance(item, list) or len(item) != 3 or type(item[0]) is not int:
+            raise Malformed("i")
+        number, calls, again = item
+        if calls is not None and not isinstance(calls, list):
+            raise Malformed("i")
+        out.append(Answer(number, calls, again is True))
+    return out
+
+
+def machines(kind: str, names: list[MachineId]) -> bytes:
+    return orjson.dumps({"k": kind, "m": names})
+
+
+def parse_machines(frame: dict[str, Any]) -> list[MachineId]:
+    names = frame.get("m")
+    if not isinstance(names, list):
+        raise Malformed("m")
+    return [MachineId(m) for m in names if isinstance(m, str)]
+
+
+def polls(items: list[tuple[int, str]]) -> bytes:
+    return orjson.dumps({"k": POLLS, "i": items})
+
+
+def cancel(number: int, job: str) -> bytes:
+    return orjson.dumps({"k": CANCEL, "i": [[number, job]]})
+
+
+def parse_asked(frame: dict[str, Any]) -> list[tuple[int, str]]:
+    return [(number, job) for number, job in _pairs(frame) if isinstance(job, str)]
+
+
+def states(kind: str, items: list[Told]) -> bytes:
+    return orjson.dumps(
+        {"k": kind, "i": [{"n": t.number, "v": t.verdict, "d": t.done, "r": t.running}
+                          for t in items]}
+    )  # fmt: skip
 
 
-def parse_told(body: bytes) -> Told:
-    obj = load_object(body)
-    return Told(
-        text(obj, "verdict"),
-        Epoch(count(obj, "epoch")),
-        count(obj, "done"),
-        count(obj, "running"),
-        obj.get("store") is True,
-    )
+def parse_states(frame: dict[str, Any]) -> list[Told]:
+    return [
+        Told(count(i, "n"), text(i, "v"), count(i, "d"), count(i, "r")) for i in objects(frame, "i")
+    ]
--- a/src/eldercart/wire/workers.py
+++ b/src/eldercart/wire/workers.py
@@ -1,20 +1,19 @@
 """What workers report and what they are told."""
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 import orjson
 
 from eldercart.units import Attempt, Epoch, MachineId, NodeId, ReportOrder, Session, TaskKey
-from eldercart.wire.checks import amount, count, flag, objects, text
+from eldercart.wire.checks import MAX_COUNT, Malformed, amount, count, flag, text
 
 FETCHING, TASK_RUNNING, SAVING, EXITED = "pulling", "running", "saving", "ended"
 WHY_DONE, WHY_STOPPED, WHY_ERROR = "done", "stopped", "error"
 WHY_NO_ROOM, WHY_BUSY, WHY_UNKNOWN = "full", "busy", "no_such"
 
 
-@dataclass(frozen=True, slots=True)
-class TaskReport:
+class TaskReport(NamedTuple):
     key: TaskKey
     attempt: Attempt
     state: str
@@ -57,17 +56,24 @@
 
 
 def parse_report(obj: dict[str, Any]) -> Report:
-    tasks = []
-    for item in objects(obj, "parcels") if obj.get("parcels") is not None else ():
-        state = text(item, "standing")
+    """Called hundreds of times a second, so the tasks are checked in place."""
+    tasks: list[TaskReport] = []
+    parcels = obj.get("parcels")
+    if parcels is not None and not isinstance(parcels, list):
+        raise Malformed("parcels")
+    for item in parcels or ():
+        if not isinstance(item, dict):
+            raise Malformed("parcels")
+        key, attempt, state = item.get("parcel"), item.get("try"), item.get("standing")
+        if not isinstance(key, str) or not key:
+            raise Malformed("parcel")
+        if type(attempt) is not int or not 0 <= attempt < MAX_COUNT:
+            raise Malformed("try")
+        if not isinstance(state, str):
+            raise Malformed("standing")
         why = item.get("cause") if state == EXITED else None
         tasks.append(
-            TaskReport(
-                TaskKey(text(item, "parcel")),
-                Attempt(count(item, "try")),
-                state,
-                why if isinstance(why, str) else None,
-            )
+            TaskReport(TaskKey(key), Attempt(attempt), state, why if isinstance(why, str) else None)
         )
     return Report(
         machine=MachineId(text(obj, "wagon")),
@@ -96,14 +102,16 @@
 MAX_COMMANDS = 500
 
 
-def commands_body(epoch: Epoch, commands: list[Command]) -> bytes:
-    calls = [command_object(c) for c in commands[:MAX_COMMANDS]]
+def command_objects(commands: list[Command]) -> list[dict[str, Any]]:
+    return [command_object(c) for c in commands[:MAX_COMMANDS]]
+
+
+def calls_body(epoch: Epoch, calls: list[dict[str, Any]]) -> bytes:
     return orjson.dumps({"whip": epoch, "calls": calls})
 
 
-def orders_body(epoch: Epoch, session: Session, commands: list[Command]) -> bytes:
-    calls = [command_object(c) for c in commands[:MAX_COMMANDS]]
-    return orjson.dumps({"whip": epoch, "stint": session, "calls": calls})
+def commands_body(epoch: Epoch, commands: list[Command]) -> bytes:
+    return calls_body(epoch, command_objects(commands))
 
 
 def redirect_body(leader: NodeId | None) -> bytes:
--- /dev/null
+++ b/tests/relayworld.py
@@ -0,0 +1,199 @@
+"""The seeded world with several nodes: reports go through relays, and every message on every hop
+may be lost, be repeated, or come late. The rules are checked as in `world`, from the workers'
+tasks and the store's keys."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from eldercart.core.controller import Controller
+from eldercart.core.relay import Answer, Forward, Redirect, Relay, Share, shares
+from eldercart.units import Epoch, MachineId, NodeId, ReportOrder, Session, Steady
+from eldercart.wire import workers
+from standins import WorkerSim
+from world import World
+
+GIVE_UP_S = 4.0
+HOLD_S = 3.0
+RPC_S = 0.2
+REPLY_S = 3.0
+
+
+@dataclass
+class Flight:
+    """A report under way from a worker: it has one, and drops answers after a while."""
+
+    sent: float
+    session: int
+    order: ReportOrder
+    notice: bool
+    tasks: Any
+    body: bytes
+    epoch: int
+
+
+class RelayWorld(World):
+    def __init__(self, seed: int, nodes: int = 3, **faults: Any) -> None:
+        self.nodes = nodes
+        self.leader = 0
+        self.relays: list[Relay] = []
+        self.flights: dict[str, Flight] = {}
+        self.at: dict[str, int] = {}  # worker -> the node it reports to
+        self.later: list[tuple[float, int, Any]] = []  # (when, number, what to do then)
+        self.number = 0
+        self.cut: set[int] = set()  # nodes that reach neither store nor peers
+        self.deaf: set[str] = set()  # machines that no answer reaches
+        self.copies = 0
+        super().__init__(seed, **faults)
+        self.relays = [self.new_relay(i) for i in range(nodes)]
+
+    def new_relay(self, i: int) -> Relay:
+        return Relay(NodeId(f"n{i}"), 0.4 * self.settings.lease_s, 0.02)
+
+    def elect(self) -> None:
+        if self.relays:
+            free = [i for i in range(self.nodes) if i != self.leader and i not in self.cut]
+            self.leader = self.rng.choice(free)
+        super().elect()
+
+    def crash(self, i: int) -> None:
+        """The node is back at once, and remembers nothing."""
+        self.relays[i] = self.new_relay(i)
+        for name in [w for w, at in self.at.items() if at == i]:
+            self.flights.pop(name, None)
+        if i == self.leader:
+            self.elect()
+
+    def after(self, seconds: float, what: Any) -> None:
+        self.number += 1
+        self.later.append((self.now + seconds, self.number, what))
+
+    def step(self, dt: float) -> None:
+        due = sorted(x for x in self.later if x[0] <= self.now + dt)
+        self.later = [x for x in self.later if x[0] > self.now + dt]
+        for _, _, what in due:
+            what()
+        self.greet(Steady(self.now))
+        super().step(dt)
+        assert self.controller is not None
+        for node, machines in self.controller.take_wants().items():
+            i = int(node[1:])
+            if not self.chance("mesh_lost") and i not in self.cut:
+                for machine in machines:
+                    self.relays[i].want(machine)
+
+    def greet(self, now: Steady) -> None:
+        c = self.controller
+        assert c is not None
+        counts = {r.label: r.machines for i, r in enumerate(self.relays) if i not in self.cut}
+        told = shares(counts, self.relays[self.leader].label, 500)
+        for i, relay in enumerate(self.relays):
+            if i in self.cut or self.chance("mesh_lost"):
+                continue
+            share = told.get(relay.label, Share(500, None))
+            c.heard(relay.label, relay.take_heard(now), now)
+            asked = Steady(now - RPC_S)
+            relay.granted(
+                c.epoch, self.relays[self.leader].label, asked, now, share.most, share.spare
+            )
+
+    def serve_worker(self, c: Controller, w: WorkerSim, now: Steady, dt: float) -> None:
+        if self.now < w.boots_at or self.now < w.hangs_until:
+            return
+        w.step(self.now, dt, self.settings.lease_s)
+        flight = self.flights.get(w.id)
+        if flight is not None:
+            if self.now - flight.sent > GIVE_UP_S:
+                del self.flights[w.id]
+                self.move(w, None)
+            return
+        if self.now < self.reports_due.get(w.id, 0.0):
+            return
+        self.reports_due[w.id] = self.now + self.settings.report_s * self.rng.uniform(0.75, 1.25)
+        body = orjson.dumps(w.report())
+        obj = orjson.loads(body)
+        order = ReportOrder(Session(obj["stint"]), obj["tally"])
+        flight = Flight(
+            self.now, w.session, order, obj["recallS"] is not None, obj["parcels"], body, w.epoch
+        )
+        self.flights[w.id] = flight
+        if self.chance("report_lost"):
+            return
+        at = self.at.setdefault(w.id, self.rng.randrange(self.nodes))
+        if self.chance("report_twice"):
+            node = self.rng.randrange(self.nodes)
+            self.copies += 1
+            late = self.rng.uniform(0.5, 2.5 * self.settings.lease_s)
+            self.after(late, lambda: self.arrive(w, flight, node))
+        self.arrive(w, flight, at)
+
+    def move(self, w: WorkerSim, to: int | None) -> None:
+        at = self.at.get(w.id, 0)
+        self.at[w.id] = (at + 1) % self.nodes if to is None else to
+        self.reports_due[w.id] = self.now + (1.0 if to is None else 0.3)
+
+    def arrive(self, w: WorkerSim, f: Flight, at: int) -> None:
+        """At a node: the report itself, or a copy of it that nobody waits for any more."""
+        relay, now = self.relays[at], Steady(self.now)
+        reachable = at == self.leader or (at not in self.cut and self.leader not in self.cut)
+        decision = relay.report(
+            MachineId(w.id), f.order, Epoch(f.epoch), f.notice, f.tasks, now, reachable
+        )
+        match decision:
+            case Answer(epoch):
+                self.answer(w, f, workers.calls_body(epoch, []))
+            case Redirect(to):
+                if self.flights.get(w.id) is f:
+                    del self.flights[w.id]
+                    self.move(w, None if to is None else int(to[1:]))
+            case Forward():
+                delay = self.rng.uniform(0.0, self.faults.get("mesh_delay", 0.05))
+                epoch = relay.epoch
+                self.after(REPLY_S, lambda: self.timed_out(w, f, relay))
+                if not self.chance("mesh_lost"):
+                    self.after(delay, lambda: self.forwarded(w, f, at, relay, epoch))
+            case _:
+                if self.flights.get(w.id) is f:
+                    del self.flights[w.id]
+                    self.move(w, None)
+
+    def timed_out(self, w: WorkerSim, f: Flight, relay: Relay) -> None:
+        if self.flights.get(w.id) is f and relay.holds_grant(Steady(self.now)):
+            relay.want(MachineId(w.id))
+            self.answer(w, f, workers.calls_body(relay.epoch, []))
+
+    def forwarded(self, w: WorkerSim, f: Flight, at: int, relay: Relay, epoch: Epoch) -> None:
+        c, now = self.controller, Steady(self.now)
+        assert c is not None
+        if epoch != c.epoch:
+            return  # another leader by now
+        report = workers.parse_report(orjson.loads(f.body))
+        commands = c.on_report(report, now, relay.label)
+        if self.chance("mesh_lost"):
+            c.undelivered(report.machine)  # the connection broke, and that the leader sees
+            return
+        if commands is None:
+            relay.overtaken(report.machine, f.order)
+            return
+        for command in commands:
+            if isinstance(command, workers.Launch):
+                self.check_durable(command, w)
+        again = bool(commands) or c.wants_next(report.machine)
+        body = workers.commands_body(c.epoch, commands)
+        delay = self.rng.uniform(0.0, self.faults.get("mesh_delay", 0.05))
+
+        def back() -> None:
+            if self.relays[at] is relay:
+                relay.answered(report.machine, f.order, f.notice, f.tasks, again)
+                self.answer(w, f, body)
+
+        self.after(delay, back)
+
+    def answer(self, w: WorkerSim, f: Flight, body: bytes) -> None:
+        if self.flights.get(w.id) is not f:
+            return  # a copy's, or too late: the worker does not wait for it any more
+        if self.chance("answer_lost") or w.id in self.deaf:
+            return
+        del self.flights[w.id]
+        w.obey(body, f.sent, f.session, self.jobs)
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,245 @@
+"""The relay by itself, and the service with relays under every kind of loss."""
+
+from typing import Any
+
+import pytest
+
+from eldercart.core.relay import Answer, Forward, Overtaken, Redirect, Relay, Share, shares
+from eldercart.units import Epoch, JobId, MachineId, NodeId, ReportOrder, Session, Steady
+from relayworld import RelayWorld
+from test_core import finish, submit_all
+
+M = MachineId("n-1")
+LEADER = NodeId("n0")
+
+
+def order(number: int, session: int = 1) -> ReportOrder:
+    return ReportOrder(Session(session), number)
+
+
+def granted(epoch: int = 5, at: float = 0.0, **changes: Any) -> Relay:
+    r = Relay(NodeId("n1"), 4.0, 0.0)
+    r.granted(Epoch(epoch), LEADER, Steady(at), Steady(at), **changes)
+    return r
+
+
+def report(
+    r: Relay, number: int, at: float = 0.0, epoch: int = 5, session: int = 1, notice: bool = False,
+    tasks: Any = (), reachable: bool = True,
+) -> Any:  # fmt: skip
+    return r.report(
+        M, order(number, session), Epoch(epoch), notice, list(tasks), Steady(at), reachable
+    )
+
+
+def taken(r: Relay, number: int = 1, again: bool = False, tasks: Any = ()) -> None:
+    """A report that the leader has taken."""
+    assert report(r, number, tasks=tasks) == Forward()
+    r.answered(M, order(number), False, list(tasks), again)
+
+
+@pytest.mark.parametrize(
+    ("name", "again", "then", "expected"),
+    [
+        ("nothing new", False, {}, Answer(Epoch(5))),
+        ("a task more", False, {"tasks": [1]}, Forward()),
+        ("a notice", False, {"notice": True}, Forward()),
+        ("another session", False, {"session": 2}, Forward()),
+        ("commands went out: whether they arrived shows only to the leader", True, {}, Forward()),
+        ("an epoch that is not known here", False, {"epoch": 6}, Redirect(None)),
+        ("the grant is over", False, {"at": 4.1}, Redirect(LEADER)),
+        ("a copy of the same", False, {"number": 1}, Overtaken()),
+        ("a late copy of an earlier one", False, {"number": 0, "tasks": [1]}, Overtaken()),
+        ("a copy of an earlier session", False, {"number": 99, "session": 0}, Overtaken()),
+        ("no way to the leader, nothing new", False, {"reachable": False}, Answer(Epoch(5))),
+        ("no way to the leader for a moment", False,
+         {"reachable": False, "tasks": [1], "at": 1.0}, Answer(Epoch(5))),
+        ("no way to the leader, and it must be told", False,
+         {"reachable": False, "tasks": [1], "at": 2.0}, Redirect(LEADER)),
+    ],
+)  # fmt: skip
+def test_what_becomes_of_a_report(
+    name: str, again: bool, then: dict[str, Any], expected: Any
+) -> None:
+    r = granted()
+    taken(r, again=again)
+    assert report(r, **({"number": 2} | then)) == expected, name
+
+
+def test_an_unanswered_report_is_followed_by_another_to_the_leader() -> None:
+    r = granted()
+    taken(r)
+    assert report(r, 2, tasks=[1]) == Forward()
+    assert report(r, 3, tasks=[1]) == Forward(), "the answer to the last one never came"
+    r.answered(M, order(2), False, [1], False)  # it comes now, for a report that is overtaken
+    assert report(r, 4, tasks=[1]) == Forward()
+
+
+def test_wanted_machine_is_heard_by_the_leader() -> None:
+    r = granted()
+    taken(r)
+    r.want(M)
+    assert report(r, 2) == Forward()
+
+
+def test_new_epoch_empties_what_is_held() -> None:
+    r = granted()
+    taken(r)
+    r.granted(Epoch(9), NodeId("n2"), Steady(1.0), Steady(1.0))
+    assert report(r, 2, 1.0, epoch=5) == Answer(Epoch(9)), "it learns the epoch first"
+    assert report(r, 3, 1.5, epoch=5) == Forward(), "and is reported if it does not"
+    assert report(r, 4, 2.0, epoch=9) == Forward()
+    r.granted(Epoch(5), LEADER, Steady(3.0), Steady(3.0))  # a late word of the old leader
+    assert r.epoch == 9
+
+
+def test_grant_counts_from_before_it_was_asked_for() -> None:
+    r = granted()
+    r.granted(Epoch(5), LEADER, Steady(1.0), Steady(3.0))
+    assert r.holds_grant(Steady(4.9)) and not r.holds_grant(Steady(5.0))
+    r.current(Epoch(4), Steady(9.0))  # of an epoch that is over
+    assert not r.holds_grant(Steady(9.0))
+    r.current(Epoch(5), Steady(9.0))  # the store shows that it still leads
+    assert r.holds_grant(Steady(12.9))
+
+
+def test_only_self_answered_reports_are_told_as_heard() -> None:
+    r = granted()
+    taken(r)
+    assert r.take_heard(Steady(0.0)) == ()
+    report(r, 2)
+    report(r, 3)
+    assert r.take_heard(Steady(0.0)) == ((M, order(3)),)
+    assert r.take_heard(Steady(0.0)) == ()
+
+
+def test_leader_calls_a_copy_what_a_new_relay_took_for_news() -> None:
+    r = granted()
+    assert report(r, 7) == Forward()
+    r.overtaken(M, order(7))
+    assert r.machines == 0 and r.take_heard(Steady(0.0)) == ()
+
+
+def test_crowded_relay_sends_new_workers_on_once() -> None:
+    r = granted(most=0, spare=NodeId("n2"))
+    assert report(r, 1) == Redirect(NodeId("n2"))
+    assert report(r, 2) == Forward(), "it is back: nobody else takes it"
+
+
+@pytest.mark.parametrize(
+    ("counts", "expected"),
+    [
+        ({"n0": 9}, {"n0": Share(100, None)}),
+        ({"n0": 8, "n1": 8}, {"n0": Share(0, NodeId("n1")), "n1": Share(24, None)}),
+        ({"n0": 0, "n1": 30, "n2": 10},
+         {"n0": Share(0, NodeId("n2")), "n1": Share(29, NodeId("n2")), "n2": Share(29, None)}),
+        ({"n0": 400, "n1": 0, "n2": 1},
+         {"n0": Share(0, NodeId("n1")), "n1": Share(100, None), "n2": Share(100, NodeId("n1"))}),
+    ],
+)  # fmt: skip
+def test_shares(counts: dict[str, int], expected: dict[str, Share]) -> None:
+    assert shares({NodeId(n): c for n, c in counts.items()}, LEADER, 100) == expected
+
+
+# -- the service with relays
+
+ROUGH = {
+    "txn_lost": 0.05, "report_lost": 0.05, "answer_lost": 0.05, "report_twice": 0.2,
+    "mesh_lost": 0.1, "mesh_delay": 0.8, "cloud_lost": 0.1,
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("faults", [{}, {"mesh_lost": 0.3}, {"report_twice": 0.5}, ROUGH])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_rules_hold_with_relays(faults: dict[str, Any], seed: int) -> None:
+    w = RelayWorld(seed, **faults)
+    submit_all(w)
+    finish(w)
+    assert set(w.told.values()) == {"done"}
+    answered = sum(r.machines for r in w.relays)
+    assert answered > 0 and w.relays[w.leader].machines < answered
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_rules_hold_while_nodes_come_and_go(seed: int) -> None:
+    """Leaders and relays die in turn and are back at once; copies of reports come up to two and a
+    half leases late, to whichever node."""
+    w = RelayWorld(seed, **ROUGH)
+    submit_all(w)
+    for i in range(8):
+        w.run(4)
+        w.crash(w.rng.randrange(w.nodes))
+        if i % 3 == 0:
+            w.crash(w.leader)
+    finish(w)
+    assert w.copies > 20
+
+
+def test_nodes_that_lose_store_and_peers_let_their_workers_go() -> None:
+    """A leader cut off with its workers, a third of the fleet: the grant ends soon enough for
+    them to find the new leader within their lease, so nothing is lost and nothing deleted."""
+    w = RelayWorld(5, capacity=6)
+    w.submit("wk-000001", run_s=60.0, parcels=12)
+    w.run(16)
+    old = w.leader
+    for name in list(w.cloud.machines)[:2]:
+        w.at[name] = old  # where they would go if every other node had been full
+    w.run(1)
+    before = dict(w.cloud.machines)
+    w.cut.add(old)
+    w.run(HOLD := 3.0)
+    w.elect()
+    w.run(20 - HOLD)
+    assert not any(w.at[name] == old for name in w.cloud.machines)
+    assert all(m.session == 1 for m in before.values()), "a lease ran out"
+    assert before.items() <= w.cloud.machines.items(), "a healthy machine was deleted"
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_machine_that_talks_but_does_not_hear(seed: int) -> None:
+    """Its reports come, so it is never silent; what it does not do gives it away."""
+    w = RelayWorld(seed, capacity=4)
+    w.submit("wk-000001", run_s=30.0, parcels=16)
+    w.run(14)
+    victim = next(m for m in w.cloud.machines.values() if m.on())
+    w.deaf.add(victim.id)
+    w.submit("wk-000002", run_s=30.0, parcels=16)
+    w.run(60)
+    assert victim.gone
+    finish(w)
+    assert w.told == {"wk-000001": "done", "wk-000002": "done"}
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_lost_answers_and_new_leaders_condemn_no_machine(seed: int) -> None:
+    w = RelayWorld(seed, capacity=4, answer_lost=0.25)
+    w.submit("wk-000001", run_s=6.0, parcels=60)
+    before: set[str] = set()
+    for _ in range(4):
+        w.run(8)
+        before |= set(w.cloud.machines)
+        w.elect()
+    assert before <= set(w.cloud.machines)
+
+
+def test_late_copy_adopts_no_machine_under_a_new_leader() -> None:
+    """The machine was deleted under an earlier leader, of whom the new one knows nothing."""
+    w = RelayWorld(9, capacity=4)
+    w.submit("wk-000001", run_s=40.0)
+    w.run(12)
+    ghost = next(iter(w.cloud.machines.values()))
+    copy = ghost.report()
+    w.cloud.delete(b'{"wagons":["%s"]}' % ghost.id.encode())
+    w.elect()
+    c = w.controller
+    assert c is not None
+    from eldercart.wire import workers
+
+    known = c.fleet.get(MachineId(ghost.id))
+    heard = None if known is None else known.last_heard
+    assert c.on_report(workers.parse_report(copy), Steady(w.now)) == []
+    now_known = c.fleet.get(MachineId(ghost.id))
+    assert (now_known is None) == (known is None)
+    assert now_known is None or now_known.last_heard == heard, "a copy renews no liveness"
+    finish(w)
+    assert w.told[JobId("wk-000001")] == "done"
--- a/tests/world.py
+++ b/tests/world.py
@@ -118,6 +118,8 @@
             self.store.txn(body)  # its sender gave up long ago
         self.late = [(t, b) for t, b in self.late if t > self.now]
         c.tick(now)
+        if c.plan_due(now):
+            c.plan(now)
         self.serve_store(c, now)
         self.serve_cloud(c, now)
         for w in list(self.cloud.machines.values()):
