Own standstill is nobody's silence; machines never heard outlast a cut zone; less work per event

One that was never heard and has no tasks now counts as booting. Standstill: the old guard looked at the leader's machines alone, links were dropped before what waited was read, boots and relays were judged by the sleep, and rentals and deletions decided before it went out unguarded. Processor time: answers are sent at once, relays hand reports on unread, a planning pass looks once at what is written ahead, ticks and greetings are fewer.

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -26,7 +26,7 @@
 )
 from eldercart.core.fleet import Life
 from eldercart.core.floor import Floor
-from eldercart.core.jobs import GONE, JOB, PLACE, Placement, end_of, parse_job_record
+from eldercart.core.jobs import GONE, JOB, PLACE, Phase, Placement, end_of, parse_job_record
 from eldercart.core.machines import Machines
 from eldercart.core.planner import Planner
 from eldercart.core.records import Outcome, PendingTxn, Records
@@ -52,6 +52,9 @@
 log = logging.getLogger("eldercart.controller")
 
 
+RENTAL_PACE_S = 0.3  # least time between two looks at demand and supply, whatever happens
+
+
 class Verdict(Enum):
     UNKNOWN_JOB = "unknown"
     UNDECIDED = "undecided"
@@ -86,7 +89,7 @@
         self.records = Records(self.floor)
         self.cloud = CloudWork(self.floor, f"{settings.label}-{life}-{epoch}")
         self.machines = Machines(self.floor, self.planner)
-        self._last_tick = now
+        self._rented = Steady(-1e9)
         self._summary_due = now
         self._memo_due = Steady(now + tuning.memo_s)
 
@@ -242,14 +245,14 @@
 
     # ------------------------------------------------------------------ time
 
+    def stood_still(self, seconds: float) -> None:
+        """This process did not run for so long: the silence meanwhile was its own."""
+        self.machines.stood_still(seconds)
+
     def tick(self, now: Steady) -> None:
-        gap = now - self._last_tick
-        self._last_tick = now
-        if gap > 1.0:
-            # This process stood still: the silence was its own.
-            self.machines.stood_still(gap)
         self.machines.watch(now)
-        if now >= self.floor.rental_due:
+        if now >= self.floor.rental_due and now - self._rented >= RENTAL_PACE_S:
+            self._rented = now
             self.floor.rental_due = Steady(now + 1.0)
             self.cloud.rent(now)
         if now >= self._summary_due:
@@ -283,11 +286,18 @@
         queued = sum(job.queued * job.spec.cpus for job in self.jobs.jobs.values())
         booting = sum(1 for m in self.fleet.machines.values() if m.life is Life.BOOTING)
         want_ordinary, want_any = f.rental.targets()
+        starting: dict[str, float] = {}
+        for m in up:
+            for p in m.placed.values():
+                if p.phase is not Phase.RUNNING and p.phase is not Phase.ENDED:
+                    name = "stopping" if p.stopping else p.phase.name.lower()
+                    starting[name] = starting.get(name, 0.0) + p.job.spec.cpus
         log.info(
             "summary jobs=%d up=%d booting=%d cpus=%g usable=%g running=%g free=%g queued=%g "
-            "waiting=%s want=%.0f/%.0f work=%.0f lost=%.0f ending=%d dirty=%d cleaning=%d",
-            len(self.jobs.jobs), len(up), booting, total, usable, running, free, queued, waiting,
-            want_ordinary, want_any, f.work_done, f.work_lost, len(f.ending), len(f.dirty),
+            "starting=%s waiting=%s want=%.0f/%.0f work=%.0f lost=%.0f ending=%d dirty=%d "
+            "cleaning=%d",
+            len(self.jobs.jobs), len(up), booting, total, usable, running, free, queued, starting,
+            waiting, want_ordinary, want_any, f.work_done, f.work_lost, len(f.ending), len(f.dirty),
             len(self.records.cleaning),
         )  # fmt: skip
 
--- a/src/eldercart/core/machines.py
+++ b/src/eldercart/core/machines.py
@@ -9,7 +9,7 @@
 from eldercart.core.floor import Floor
 from eldercart.core.jobs import Phase, Placement
 from eldercart.core.planner import Planner
-from eldercart.units import MachineId, NodeId, ReportOrder, Steady
+from eldercart.units import NO_REPORT, MachineId, NodeId, ReportOrder, Steady
 from eldercart.wire import workers
 
 log = logging.getLogger("eldercart.controller")
@@ -319,9 +319,15 @@
                 out.append((machine, m.address))
         return out
 
-    def stood_still(self, gap: float) -> None:
+    def stood_still(self, seconds: float) -> None:
+        """Whatever was due in that time is judged as late as if it had not been: what has waited
+        is read first, and everyone has time to report anew."""
         for m in self.f.fleet.machines.values():
-            m.last_heard = Steady(m.last_heard + gap)
+            m.last_heard = Steady(m.last_heard + seconds)
+            m.hired = Steady(m.hired + seconds)
+            m.undelivered = True  # the last answer may not have left in time
+        for relay, heard in self._relays.items():
+            self._relays[relay] = Steady(heard + seconds)
 
     @property
     def patience(self) -> float:
@@ -342,8 +348,7 @@
             if m.taken_at is not None:
                 self._drain(m, m.taken_at, now)
             if m.life is Life.BOOTING:
-                limit = max(self.f.tuning.boot_patience * m.type.boot_s, 10.0)
-                if now - m.hired > limit + self.f.settings.list_lag_s:
+                if now - m.hired > self._boot_limit(m):
                     log.info("machine late machine=%s seconds=%.1f", m.id, now - m.hired)
                     self.f.doom(m, now)
             elif now - m.last_heard > PROBE_FROM * patience and self._silent(m, patience, now):
@@ -354,7 +359,15 @@
             elif tasks and (m.live or m.queue):
                 self._watch_tasks(m, now)
 
+    def _boot_limit(self, m: Machine) -> float:
+        boot: float = max(self.f.tuning.boot_patience * m.type.boot_s, 10.0)
+        return boot + self.f.settings.list_lag_s
+
     def _silent(self, m: Machine, patience: float, now: Steady) -> bool:
+        if m.order == NO_REPORT and not m.live and now - m.hired <= self._boot_limit(m):
+            # Listed as up and never heard, as a machine that booted in a zone that is cut off:
+            # nothing waits for it there, and it is worth more than another one that boots anew.
+            return False
         if m.address and now - m.probed >= PROBE_S:
             m.probed = now
             self._probes[m.id] = None
--- a/src/eldercart/core/planner.py
+++ b/src/eldercart/core/planner.py
@@ -113,11 +113,15 @@
     def _revoke_queued(self, now: Steady) -> None:
         """Takes back what was written ahead for a machine that no longer takes anything, or where
         the room has not come: it was never sent, so it may go elsewhere at once."""
-        patience = self.f.tuning.ahead_patience_s
-        for m in list(self.f.fleet.queues.values()):
-            for p in list(m.queue.values()):
-                if not m.usable or now - p.queued_at > patience:
-                    self.f.void(p, now)
+        before = now - self.f.tuning.ahead_patience_s
+        over = [
+            p
+            for m in self.f.fleet.queues.values()
+            for p in m.queue.values()
+            if p.queued_at < before or not m.usable
+        ]
+        for p in over:
+            self.f.void(p, now)
 
     def turn(self, number: int) -> int:
         """Where to begin among so many, each time elsewhere."""
@@ -151,12 +155,15 @@
         f, now = self.f, self.now
         level: int | None = None
         keeps = self._ordinary_kept()
+        ahead = self._ahead_by_priority()
         lead = 2.5 * f.settings.report_s + 1.0
         patience = f.tuning.preempt_wait_s
         for job, cap in self.jobs:
             spec = job.spec
             if cap is None and spec.priority != level:
-                self._hold_queued(spec.priority, level)
+                for above in [p for p in ahead if p >= spec.priority]:
+                    for m, held in ahead.pop(above):
+                        f.fleet.hold(m, held, 1)
                 level = spec.priority
             shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
             if self.open and shape not in self._full:
@@ -175,15 +182,14 @@
             if left > 0:
                 self._write_ahead(job, left, cap is not None)
 
-    def _hold_queued(self, priority: int, above_was: int | None) -> None:
+    def _ahead_by_priority(self) -> dict[int, list[tuple[Machine, JobSpec]]]:
         """What was written ahead keeps its room from jobs of the same or lower priority."""
+        out: dict[int, list[tuple[Machine, JobSpec]]] = {}
         for m in self.f.fleet.queues.values():
             for p in m.queue.values():
-                above = p.job.spec.priority
-                if p.queued_at == self.now:
-                    continue  # held when it was written, in this very pass
-                if above >= priority and (above_was is None or above < above_was):
-                    self.f.fleet.hold(m, p.job.spec, 1)
+                spec = p.job.spec
+                out.setdefault(spec.priority, []).append((m, spec))
+        return out
 
     def _place(self, job: Job, shape: tuple[Any, ...], no_ordinary: bool, cap: int | None) -> None:
         f, now, spec = self.f, self.now, job.spec
--- a/src/eldercart/election/__init__.py
+++ b/src/eldercart/election/__init__.py
@@ -76,6 +76,15 @@
         """Whether no other node can be leader now. Counted from before the renewal was sent."""
         return self.role is Role.LEADER and now < self._deadline
 
+    def may_order(self, now: Steady, refused_at: Steady) -> bool:
+        """Whether the cloud may be asked for machines or deletions. Nothing guards those calls as
+        the leader key guards a write, so a leader that slept past its hold must not carry out what
+        it had decided before: another one may run tasks there by now. In an outage of the state
+        service, which answers and refuses (last at `refused_at`), nobody else is elected; if it
+        refuses this node alone, the peers soon tell of the new epoch."""
+        refused = self.role is Role.LEADER and refused_at >= now - self._life
+        return refused or self.within_lease(now)
+
     # -- inputs
 
     def lead_changed(self, now: Steady) -> None:
--- /dev/null
+++ b/src/eldercart/net/eager.py
@@ -0,0 +1,24 @@
+"""Connections that send at once.
+
+By itself the reactor sends what was written only after its next look at all sockets: two more
+system calls and a longer way through the loop for each answer, hundreds of times a second.
+"""
+
+from typing import Any
+
+from twisted.internet import tcp
+
+
+class EagerServer(tcp.Server):
+    """The server side of a connection; falls back on the reactor when the socket is full."""
+
+    def startWriting(self) -> None:
+        if self.disconnecting or self.dataBuffer or self.doWrite() is not None or self.dataBuffer:
+            # The reactor finds out what the matter is, and closes the connection in its own turn.
+            super().startWriting()
+
+
+def flush(transport: Any) -> None:
+    """The same for a connection that this side has opened; troubles are left to the reactor."""
+    if not transport.disconnecting:
+        transport.doWrite()
--- a/src/eldercart/net/leading.py
+++ b/src/eldercart/net/leading.py
@@ -154,6 +154,13 @@
             self.node.meters.add("plan", took)
         self.pump()
 
+    def stood_still(self, seconds: float) -> None:
+        """Nobody's silence meanwhile was their own. Whether this node still leads only the state
+        service can tell: another may have been elected."""
+        self.heard_at = Steady(self.heard_at + seconds)
+        if self.controller is not None:
+            self.controller.stood_still(seconds)
+
     def _unheard(self, c: Controller, now: Steady) -> bool:
         """Whether the store alone can be reached: another node would then lead better."""
         if not self.node.relaying.links or not c.fleet.machines:
@@ -234,7 +241,8 @@
             self._probe(c, machine, address)
         if c.cloud.catalog_changed:
             self._store_types(c)
-        while self._cloud_tokens.available(now) >= 1:
+        orders = node.election.may_order(now, node.store.refused_at)
+        while orders and self._cloud_tokens.available(now) >= 1:
             call = c.next_cloud(now)
             if call is None:
                 break
--- a/src/eldercart/net/links.py
+++ b/src/eldercart/net/links.py
@@ -8,6 +8,7 @@
 from twisted.internet import reactor as _reactor
 from twisted.protocols.basic import Int32StringReceiver
 
+from eldercart.net.eager import EagerServer, flush
 from eldercart.settings.platform import Endpoint
 from eldercart.units import NodeId, Steady
 from eldercart.wire import Malformed, peers
@@ -17,7 +18,6 @@
 
 CONNECT_S = 1.0
 AGAIN_S = 0.4  # before a lost connection is tried again
-SILENT_S = 2.5  # a peer answers greetings; without a word for this long, the connection is dead
 
 
 class Channel(Int32StringReceiver):
@@ -88,10 +88,10 @@
     def up(self) -> bool:
         return self._channel is not None
 
-    def check(self, now: Steady) -> None:
+    def check(self, silent_s: float, now: Steady) -> None:
         """Connects anew where needed; gives up a connection that went silent."""
         if self._channel is not None:
-            if now - self._heard > SILENT_S:
+            if now - self._heard > silent_s:
                 self._channel.transport.abortConnection()
                 self._closed(self._channel)
         elif not self._trying and now >= self._again:
@@ -102,6 +102,10 @@
             d = creator.connectTCP(self._endpoint.host, self._endpoint.port, timeout=CONNECT_S)
             d.addErrback(self._failed)
 
+    def stood_still(self, seconds: float) -> None:
+        """What the peer said meanwhile waits to be read: it was not silent."""
+        self._heard = Steady(self._heard + seconds)
+
     def _opened(self, channel: Channel) -> None:
         channel.peer = self.label
         self._channel = channel
@@ -130,6 +134,7 @@
         if self._channel is None:
             return False
         self._channel.send(data)
+        flush(self._channel.transport)
         return True
 
 
@@ -158,4 +163,5 @@
 
 
 def listen(endpoint: Endpoint, exchange: Exchange) -> None:
-    reactor.listenTCP(endpoint.port, exchange, backlog=32, interface=endpoint.host)
+    port = reactor.listenTCP(endpoint.port, exchange, backlog=32, interface=endpoint.host)
+    port.transport = EagerServer
--- a/src/eldercart/net/node.py
+++ b/src/eldercart/net/node.py
@@ -26,7 +26,8 @@
 reactor: Any = _reactor
 log = logging.getLogger("eldercart.node")
 
-TICK_S = 0.05
+TICK_S = 0.1
+STANDSTILL_S = 0.5  # by which a turn of the loop is late when the process did not run
 ALONE_S = 3.0  # of refusals by the store before a node counts as refused alone
 
 
@@ -78,6 +79,8 @@
         self.lag = 0.8 * self.lag + 0.2 * behind
         self.meters.add("loop_lag", behind)
         self._last_tick = now
+        if behind > STANDSTILL_S:
+            self._stood_still(behind)
         self.electing.tick(now)
         self.relaying.tick(now)
         self.leading.tick(now)
@@ -86,6 +89,13 @@
         if now >= self._load_due:
             self._log_load(now)
 
+    def _stood_still(self, seconds: float) -> None:
+        """Nothing was read meanwhile, so nobody's silence in that time is theirs. (What this node
+        may say by its hold or its grant is judged by the clock, which ran on.)"""
+        log.info("stood still seconds=%.2f", seconds)
+        self.relaying.stood_still(seconds)
+        self.leading.stood_still(seconds)
+
     def _log_load(self, now: Steady) -> None:
         cpu = time.process_time()
         self._load_due = Steady(now + 10.0)
--- a/src/eldercart/net/relaying.py
+++ b/src/eldercart/net/relaying.py
@@ -23,7 +23,10 @@
 REPORT_S = 3.0  # a worker drops answers after 4 s
 POLL_S = 0.8
 CANCEL_S = 2.0
-GREET_LEADER_S, GREET_S = 0.5, 1.0
+# The leader is told whom this node answered; of the others it is enough to know that they live.
+GREET_LEADER_S, GREET_S = 0.5, 2.0
+# A peer answers greetings; without a word for this long, the connection is dead.
+SILENT_LEAST_S, SILENT_GREETINGS = 2.5, 2.5
 
 
 @dataclass(slots=True)
@@ -77,8 +80,8 @@
         node = self.node
         leader = node.election.leader
         for link in self.links.values():
-            link.check(now)
             every = GREET_LEADER_S if link.label == leader else GREET_S
+            link.check(max(SILENT_LEAST_S, SILENT_GREETINGS * every), now)
             if link.up and now - link.greeted >= every:
                 self._greet(link, link.label == leader, now)
         if node.leading.acts:
@@ -96,6 +99,10 @@
             self._timeouts_due = Steady(now + 0.2)
             self._time_out(now)
 
+    def stood_still(self, seconds: float) -> None:
+        for link in self.links.values():
+            link.stood_still(seconds)
+
     def _share_out(self, now: Steady) -> None:
         counts = {n: c for n, (c, at) in self.peer_counts.items() if now - at < 2.5}
         counts[self.node.settings.label] = self.relay.machines
@@ -180,18 +187,19 @@
         self, request: JsonRequest, body: bytes, obj: dict[str, Any], machine: MachineId,
         order: ReportOrder, notice: bool, tasks: Any, now: Steady,
     ) -> None:  # fmt: skip
-        try:
-            report = workers.parse_report(obj)
-        except Malformed as err:
-            self._refuse(request, err)
-            return
         held = Held(request, machine, order, notice, tasks, Steady(now + REPORT_S))
         leading = self.node.leading
         if leading.acts:
+            try:
+                report = workers.parse_report(obj)
+            except Malformed as err:
+                self._refuse(request, err)
+                return
             calls, again = leading.take_report(report, self.node.settings.label, now)
             self._reply(held, calls, again)
             leading.pump_soon()
             return
+        # It goes on as it came: the leader reads it, and takes a malformed one for none.
         self._number += 1
         self._held[self._number] = held
         self._reports.append((self._number, body))
--- a/src/eldercart/net/server.py
+++ b/src/eldercart/net/server.py
@@ -8,6 +8,7 @@
 from twisted.internet import reactor as _reactor
 from twisted.web import http
 
+from eldercart.net.eager import EagerServer
 from eldercart.settings.platform import Endpoint
 from eldercart.wire.checks import MAX_BODY
 from eldercart.wire.users import error_body
@@ -67,16 +68,17 @@
     ) -> None:
         if self.gone or self.finished:
             return
-        self.setResponseCode(status)
-        headers = self.responseHeaders
-        headers.setRawHeaders(b"content-type", [b"application/json"])
-        headers.setRawHeaders(b"content-length", [b"%d" % len(body)])
-        if retry_after is not None:
-            headers.setRawHeaders(b"retry-after", [b"%d" % retry_after])
         if close:
-            headers.setRawHeaders(b"connection", [b"close"])
             self.channel.persistent = False
-        self.write(body)
+        # Head and body in one piece: a packet, and a call to send it, for each answer.
+        head = b"HTTP/1.1 %d %b\r\n" % (status, http.RESPONSES.get(status, b"Unknown"))
+        head += b"content-type: application/json\r\ncontent-length: %d\r\n" % len(body)
+        if retry_after is not None:
+            head += b"retry-after: %d\r\n" % retry_after
+        if not self.channel.persistent:
+            head += b"connection: close\r\n"
+        self.startedWriting = 1
+        self.channel.write(head + b"\r\n" + body)
         self.finish()
 
 
@@ -124,4 +126,5 @@
 
 
 def listen(endpoint: Endpoint, factory: JsonFactory) -> None:
-    reactor.listenTCP(endpoint.port, factory, backlog=256, interface=endpoint.host)
+    port = reactor.listenTCP(endpoint.port, factory, backlog=256, interface=endpoint.host)
+    port.transport = EagerServer
--- a/src/eldercart/net/store.py
+++ b/src/eldercart/net/store.py
@@ -29,6 +29,7 @@
         self.writes = Bucket(1, settings.state_write_rps, now)
         self.last_ok = now
         self.failing_since: Steady | None = None
+        self.refused_at = Steady(-1e9)  # when it last answered that it can't
         self.set_leader(False)
 
     def set_leader(self, leader: bool) -> None:
@@ -72,6 +73,8 @@
             if status is None or status in (429, 503):
                 if self.failing_since is None:
                     self.failing_since = now
+                if status == 503:
+                    self.refused_at = now
                 if status == 429:
                     self.requests.drain(now)
                     self.writes.drain(now)
--- a/tests/relayworld.py
+++ b/tests/relayworld.py
@@ -43,6 +43,7 @@
         self.later: list[tuple[float, int, Any]] = []  # (when, number, what to do then)
         self.number = 0
         self.cut: set[int] = set()  # nodes that reach neither store nor peers
+        self.asleep: int | None = None  # a node that does not run at all
         self.deaf: set[str] = set()  # machines that no answer reaches
         self.copies = 0
         super().__init__(seed, **faults)
@@ -53,7 +54,8 @@
 
     def elect(self) -> None:
         if self.relays:
-            free = [i for i in range(self.nodes) if i != self.leader and i not in self.cut]
+            away = self.cut | {self.leader, self.asleep}
+            free = [i for i in range(self.nodes) if i not in away]
             self.leader = self.rng.choice(free)
         super().elect()
 
@@ -65,6 +67,21 @@
         if i == self.leader:
             self.elect()
 
+    def sleep(self, i: int, seconds: float) -> None:
+        """Node `i` stands still. If it leads, another does once its hold has ended; what it knew
+        and what it was granted are kept aside, for a look at what it does when it wakes."""
+        self.asleep = i
+        end = self.now + seconds
+        if i == self.leader:
+            self.run(min(seconds, HOLD_S))
+            if self.now < end - 1e-6:
+                self.stale_relay = self.relays[i]
+                self.stale_order = ReportOrder(Session(1), 10**6)
+                self.elect()
+        if end > self.now:
+            self.run(end - self.now)
+        self.asleep = None
+
     def after(self, seconds: float, what: Any) -> None:
         self.number += 1
         self.later.append((self.now + seconds, self.number, what))
@@ -74,7 +91,8 @@
         self.later = [x for x in self.later if x[0] > self.now + dt]
         for _, _, what in due:
             what()
-        self.greet(Steady(self.now))
+        if self.asleep != self.leader:
+            self.greet(Steady(self.now))
         super().step(dt)
         assert self.controller is not None
         for node, machines in self.controller.take_wants().items():
@@ -83,13 +101,17 @@
                 for machine in machines:
                     self.relays[i].want(machine)
 
+    def leader_runs(self) -> bool:
+        return self.asleep != self.leader
+
     def greet(self, now: Steady) -> None:
         c = self.controller
         assert c is not None
-        counts = {r.label: r.machines for i, r in enumerate(self.relays) if i not in self.cut}
+        away = self.cut | {self.asleep}
+        counts = {r.label: r.machines for i, r in enumerate(self.relays) if i not in away}
         told = shares(counts, self.relays[self.leader].label, 500)
         for i, relay in enumerate(self.relays):
-            if i in self.cut or self.chance("mesh_lost"):
+            if i in self.cut or i == self.asleep or self.chance("mesh_lost"):
                 continue
             share = told.get(relay.label, Share(500, None))
             c.heard(relay.label, relay.take_heard(now), now)
@@ -135,6 +157,8 @@
 
     def arrive(self, w: WorkerSim, f: Flight, at: int) -> None:
         """At a node: the report itself, or a copy of it that nobody waits for any more."""
+        if at == self.asleep:
+            return
         relay, now = self.relays[at], Steady(self.now)
         reachable = at == self.leader or (at not in self.cut and self.leader not in self.cut)
         decision = relay.report(
@@ -159,13 +183,16 @@
                     self.move(w, None)
 
     def timed_out(self, w: WorkerSim, f: Flight, relay: Relay) -> None:
-        if self.flights.get(w.id) is f and relay.holds_grant(Steady(self.now)):
+        asleep = self.asleep is not None and relay is self.relays[self.asleep]
+        if not asleep and self.flights.get(w.id) is f and relay.holds_grant(Steady(self.now)):
             relay.want(MachineId(w.id))
             self.answer(w, f, workers.calls_body(relay.epoch, []))
 
     def forwarded(self, w: WorkerSim, f: Flight, at: int, relay: Relay, epoch: Epoch) -> None:
         c, now = self.controller, Steady(self.now)
         assert c is not None
+        if self.asleep in (at, self.leader):
+            return
         if epoch != c.epoch:
             return  # another leader by now
         report = workers.parse_report(orjson.loads(f.body))
@@ -184,7 +211,7 @@
         delay = self.rng.uniform(0.0, self.faults.get("mesh_delay", 0.05))
 
         def back() -> None:
-            if self.relays[at] is relay:
+            if self.relays[at] is relay and at != self.asleep:
                 relay.answered(report.machine, f.order, f.notice, f.tasks, again)
                 self.answer(w, f, body)
 
--- /dev/null
+++ b/tests/test_standstill.py
@@ -0,0 +1,202 @@
+"""A process that stands still while its clocks run on: it judges nobody by that time, and claims
+nothing by it."""
+
+from typing import Any
+
+import orjson
+import pytest
+
+from eldercart.core.controller import ListPage, Outcome
+from eldercart.core.fleet import Life
+from eldercart.core.relay import Redirect
+from eldercart.election import LEAD_KEY, Election
+from eldercart.net.links import Link
+from eldercart.settings.platform import Endpoint
+from eldercart.units import Epoch, LeaseId, LifeId, MachineId, NodeId, Revision, Steady
+from eldercart.wire import workers
+from relayworld import RelayWorld
+from test_core import finish
+from world import World
+
+
+@pytest.mark.parametrize(
+    ("noticed", "then_silent", "deleted"),
+    [(True, 0.0, False), (False, 0.0, True), (True, 20.0, True)],
+)
+def test_own_standstill_is_nobodys_silence(
+    noticed: bool, then_silent: float, deleted: bool
+) -> None:
+    """The first look after a standstill finds every machine long unheard, and one that boots long
+    overdue. They have their full time from now on, and no more than that."""
+    w = World(4, capacity=4)
+    w.submit("wk-000001", run_s=200.0, parcels=20)
+    c = w.controller
+    assert c is not None
+    while not (c.fleet.machines and any(m.life is Life.UP for m in c.fleet.machines.values())):
+        w.step(0.1)
+    booting = next(iter(w.cloud.machines.values()))
+    booting.boots_at = w.now + 500.0
+    late = c.fleet.machines[MachineId(booting.id)]
+    late.life = Life.BOOTING
+    w.run(3)
+    assert not c.floor.doomed
+    w.now += 60.0
+    if noticed:
+        c.stood_still(60.0)
+    c.tick(Steady(w.now))
+    for _ in range(int(then_silent / 0.5)):
+        w.now += 0.5
+        c.tick(Steady(w.now))
+    assert bool(c.floor.doomed) is deleted
+    if noticed:
+        assert late.id not in c.floor.doomed or then_silent > 0
+
+
+def test_overdue_kill_is_not_excused() -> None:
+    """The user's time runs on: a cancelled task that outlives its kill for so long goes with its
+    machine, whoever slept."""
+    w = World(5, capacity=2)
+    w.submit("wk-000001", run_s=300.0, parcels=2)
+    w.run(16)
+    c = w.controller
+    assert c is not None
+    m = next(m for m in c.fleet.machines.values() if m.live)
+    w.cancel("wk-000001")
+    pause = w.settings.cancel_s * 0.7
+    w.now += pause
+    c.stood_still(pause)
+    for _ in range(4):
+        w.now += 0.5
+        c.tick(Steady(w.now))
+    assert m.id in c.floor.doomed
+
+
+@pytest.mark.parametrize(
+    ("heard", "age_s", "placed", "deleted"),
+    [
+        (False, 2.0, False, False),
+        (False, 300.0, False, True),
+        (False, 2.0, True, True),
+        (True, 2.0, False, True),
+    ],
+)
+def test_machine_that_was_never_heard(
+    heard: bool, age_s: float, placed: bool, deleted: bool
+) -> None:
+    """A new leader finds it listed as up. In a zone that is cut off, all that booted meanwhile
+    look so; 136 of them were deleted just as such a cut ended. One with tasks, or one that has
+    fallen silent, is replaced as ever; so is one that should long have come up."""
+    w = World(6, capacity=1)
+    w.submit("wk-000001", run_s=300.0, parcels=1)
+    w.run(14)
+    name = next(iter(w.cloud.machines))
+    if not placed:
+        w.cancel("wk-000001")
+        w.run(4)
+    w.elect()
+    c = w.controller
+    assert c is not None
+    sim = w.cloud.machines[name]
+    w.cloud.machines[name].hangs_until = w.now + 1e6
+    if heard:
+        c.on_report(workers.parse_report(sim.report() | {"whip": c.epoch}), Steady(w.now))
+    listed = w.cloud.list(w.now)
+    listed["wagons"][0]["ageS"] = age_s
+    w.cloud.list = lambda now: listed  # type: ignore[method-assign]
+    end = w.now + w.tuning.silence_least_s + w.tuning.takeover_grace_s + 1.0
+    while w.now < end:
+        w.now += 0.25
+        c.tick(Steady(w.now))
+        call = c.next_cloud(Steady(w.now))
+        if isinstance(call, ListPage):
+            c.cloud_done(call, 200, orjson.dumps(listed), Steady(w.now))
+    assert (MachineId(name) in c.floor.doomed) is deleted
+
+
+@pytest.mark.parametrize("pause_s", [1.0, 2.9, 6.0, 12.0, 40.0])
+@pytest.mark.parametrize("twice", [False, True])
+def test_leader_that_stood_still(pause_s: float, twice: bool) -> None:
+    """Others elect when its hold has ended; what it decided before can't be carried out any more,
+    and no machine is lost to its sleep."""
+    w = RelayWorld(7, capacity=8)
+    w.submit("wk-000001", run_s=150.0, parcels=24)
+    w.run(14)
+    for _ in range(2 if twice else 1):
+        before = {name for name, m in w.cloud.machines.items() if m.tasks}
+        old, at = w.controller, w.leader
+        assert old is not None
+        w.sleep(at, pause_s)
+        if pause_s > 3.0:
+            assert w.controller is not old
+            now = Steady(w.now)
+            old.stood_still(pause_s)
+            old.tick(now)
+            judged = [m for m in old.floor.doomed if old.fleet.machines[m].live]
+            assert not judged, "it judged by its own sleep"
+            pending = old.next_txn(now, 20)
+            if pending is not None:
+                status, answer = w.store.txn(pending.txn.body())
+                assert status == 409 and LEAD_KEY in answer["failed"]
+                assert old.txn_done(pending, Outcome.CONFLICT, Revision(0), (LEAD_KEY,), now)
+            assert isinstance(w.stale_relay.report(
+                MachineId("n-000001"), w.stale_order, Epoch(old.epoch), False, [], now, True
+            ), Redirect), "its grant ran on"  # fmt: skip
+        kept = {n for n in before if n in w.cloud.machines and w.cloud.machines[n].session == 1}
+        assert kept == before, "a lease ran out, or a healthy machine was deleted"
+        w.run(5)
+    finish(w)
+
+
+def test_relay_that_stood_still() -> None:
+    """Its workers find another node well within their lease, and nobody judges them meanwhile."""
+    w = RelayWorld(8, capacity=8)
+    w.submit("wk-000001", run_s=60.0, parcels=24)
+    w.run(16)
+    relay = next(i for i in range(w.nodes) if i != w.leader)
+    before = {name for name, m in w.cloud.machines.items() if m.tasks}
+    w.sleep(relay, 20.0)
+    assert all(w.cloud.machines[n].session == 1 for n in before if n in w.cloud.machines)
+    assert before <= set(w.cloud.machines)
+    finish(w)
+
+
+@pytest.mark.parametrize(
+    ("at", "refused_at", "allowed"),
+    [
+        (1.0, -1e9, True),  # within its hold
+        (20.0, -1e9, False),  # it slept: another may lead by now
+        (20.0, 19.0, True),  # the store is down, and refuses everybody
+        (20.0, 10.0, False),
+    ],
+)
+def test_orders_to_the_cloud_need_the_hold(at: float, refused_at: float, allowed: bool) -> None:
+    e = Election(NodeId("n0"), 3.0, 0.02, LifeId("x"))
+    e.next_action(Steady(0.0))
+    e.read(None, Steady(0.0))
+    e.next_action(Steady(0.0))
+    e.opened(LeaseId(1), Steady(0.0))
+    e.next_action(Steady(0.0))
+    e.claimed(Revision(5), Steady(0.0))
+    assert e.may_order(Steady(at), Steady(refused_at)) is allowed
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "stood_still_s", "lost"), [(2.0, 0.0, False), (4.0, 0.0, True), (4.0, 3.9, False)]
+)
+def test_link_after_a_standstill(silent_s: float, stood_still_s: float, lost: bool) -> None:
+    """What the peer said meanwhile waits to be read."""
+    closed: list[Any] = []
+
+    class Transport:
+        def abortConnection(self) -> None:
+            closed.append(self)
+
+    class Opened:
+        transport = Transport()
+
+    now = [Steady(10.0)]
+    link = Link(NodeId("n1"), Endpoint("", 0), lambda *_: None, closed.append, lambda: now[0])
+    link._opened(Opened())  # type: ignore[arg-type]
+    link.stood_still(stood_still_s)
+    link.check(2.5, Steady(10.0 + silent_s))
+    assert bool(closed) is lost
--- a/tests/world.py
+++ b/tests/world.py
@@ -119,15 +119,19 @@
         for body in [b for t, b in self.late if t <= self.now]:
             self.store.txn(body)  # its sender gave up long ago
         self.late = [(t, b) for t, b in self.late if t > self.now]
-        c.tick(now)
-        if c.plan_due(now):
-            c.plan(now)
-        self.serve_store(c, now)
-        self.serve_cloud(c, now)
+        if self.leader_runs():
+            c.tick(now)
+            if c.plan_due(now):
+                c.plan(now)
+            self.serve_store(c, now)
+            self.serve_cloud(c, now)
         for w in list(self.cloud.machines.values()):
             self.serve_worker(c, w, now, dt)
         self.check()
 
+    def leader_runs(self) -> bool:
+        return True
+
     def chance(self, name: str) -> bool:
         return self.rng.random() < self.faults.get(name, 0.0)
 
