Jobs share records of placements; frames cut by size; the leader watch after 410

The store takes 25 changes a second; a job took about nine: accepted 1, ended and cleaned up 3 to 5, its own record written anew for each task that moved on. Parts of several jobs now share a record ('sheet') as large as a value may be, and what an ended job left on one needs no change. Ruled out: processor (leader at a tenth of its share), requests. Also: a batch of reports or answers could outgrow a frame after a standstill; the accept queue holds all workers; a watch refused with 410 goes on from a list's revision.

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -26,7 +26,7 @@
 )
 from eldercart.core.fleet import Life
 from eldercart.core.floor import Floor
-from eldercart.core.jobs import GONE, JOB, PLACE, Phase, Placement, end_of, parse_job_record
+from eldercart.core.jobs import GONE, JOB, Phase, end_of, parse_job_record
 from eldercart.core.machines import Machines
 from eldercart.core.planner import Planner
 from eldercart.core.records import Outcome, PendingTxn, Records
@@ -109,20 +109,7 @@
         for item in job_items:
             self.learn_job(item, now)
         orphans: list[tuple[str, Revision]] = []
-        loaded: list[Placement] = []
-        for item in place_items:
-            job_id, _, number = item.key[len(PLACE) :].rpartition("/")
-            job = self.jobs.get(JobId(job_id))
-            if job is None:
-                orphans.append((item.key, item.version))
-                continue
-            try:
-                loaded += self.jobs.load_chunk(job, int(number), item.value, item.version, now)
-            except (Malformed, ValueError) as err:
-                # Where its tasks may be is not known, so none may start; it stays known, and the
-                # others are taken over all the same.
-                log.error("place record unreadable key=%s: %s", item.key, err)
-                job.unreadable = True
+        loaded = self.records.sheets.load(place_items, self.jobs, now)
         for item in gone_items:
             job = self.jobs.get(JobId(item.key[len(GONE) :]))
             if job is None:
--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -1,6 +1,6 @@
 """Jobs, their tasks and placements, and the records that make them durable.
 
-A job's tasks are cut into chunks that fit the state service's value limit; a chunk's record holds
+A job's tasks are cut into chunks that fit the state service's value limit; a chunk's part holds
 the done tasks as ranges, the placements, and the highest attempt used, from which attempts grow.
 """
 
@@ -10,11 +10,9 @@
 from typing import Any
 
 from eldercart.units import (
-    ABSENT,
     Attempt,
     JobId,
     MachineId,
-    Revision,
     Steady,
     TaskKey,
     task_key,
@@ -30,10 +28,6 @@
     return max(8, min(500, int(value_bytes * 0.8) // ENTRY_BYTES))
 
 
-def place_key(job: JobId, number: int) -> str:
-    return f"{PLACE}{job}/{number:05d}"
-
-
 class Phase(IntEnum):
     PLANNED = 0  # not yet durable: nothing may be sent
     WANTED = 1  # durable; launched or to be launched
@@ -71,12 +65,13 @@
 @dataclass(slots=True, eq=False)
 class Chunk:
     number: int
-    version: Revision = ABSENT
     attempt: Attempt = Attempt(0)
     dirty: bool = False
     urgent: bool = False  # holds a placement that waits to be launched
     dirty_since: Steady = Steady(0)
     placements: dict[int, Placement] = field(default_factory=dict)
+    sheet: str | None = None  # the key of the record that it is written in, see `sheets`
+    written: tuple[Any, int] | None = None  # as it was written last, and its size in bytes
 
 
 class Job:
@@ -180,9 +175,7 @@
     def remove(self, job: Job) -> None:
         self.jobs.pop(job.id, None)
 
-    def load_chunk(
-        self, job: Job, number: int, value: Any, version: Revision, now: Steady
-    ) -> list[Placement]:
+    def load_chunk(self, job: Job, number: int, value: Any, now: Steady) -> list[Placement]:
         """Takes over a record of an earlier leader. Its placements may be on their machines."""
         try:
             attempt, done = Attempt(int(value["a"])), [(int(a), int(b)) for a, b in value["d"]]
@@ -191,7 +184,7 @@
                 raise ValueError(done)
         except (KeyError, TypeError, ValueError) as err:
             raise Malformed(f"place record: {err}") from None
-        chunk = Chunk(number, version, attempt)
+        chunk = Chunk(number, attempt)
         job.chunks[number] = chunk
         for low, high in done:
             for i in range(low, high + 1):
--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -5,21 +5,18 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-import orjson
-
 from eldercart.core.floor import Floor
 from eldercart.core.jobs import (
     END,
     GONE,
     JOB,
-    PLACE,
     Chunk,
     Job,
     Phase,
     Placement,
     end_of,
-    place_key,
 )
+from eldercart.core.sheets import Sheet, Sheets
 from eldercart.election import LEAD_KEY
 from eldercart.units import ABSENT, JobId, Revision, Steady
 from eldercart.wire import users
@@ -29,7 +26,7 @@
 
 WRITE_PAUSE_S = 0.25  # after a write that was not carried out
 TXN_BYTES = 56 * 1024  # the limit is 64 KiB; keys, guards and names take the rest
-ANY_JOBS = 1000  # more than a transaction holds
+ANY_UNITS = 1000  # ends and sheets, more than a transaction holds
 ASIDE_S = 20.0  # for which a job is left alone whose record the store refuses for what it is
 
 
@@ -46,10 +43,12 @@
     txn: Txn
     ends: list[tuple[Job, str]] = field(default_factory=list)
     chunks: list[tuple[Job, Chunk, list[Placement], list[Placement]]] = field(default_factory=list)
-    cleanups: list[tuple[Job, list[int], bool]] = field(default_factory=list)
+    sheets: list[Sheet] = field(default_factory=list)
+    dropped: list[Sheet] = field(default_factory=list)
+    cleanups: list[Job] = field(default_factory=list)
     orphans: list[tuple[str, Revision]] = field(default_factory=list)
     size: int = 0
-    jobs: set[JobId] = field(default_factory=set)
+    units: set[str] = field(default_factory=set)  # jobs that end, and sheets: see `Records._split`
 
 
 class Records:
@@ -62,17 +61,23 @@
         self.finished: list[tuple[JobId, str]] = []  # newly durable ends, for waiting answers
         self.cleaning: dict[JobId, Job] = {}
         self.orphans: list[tuple[str, Revision]] = []
+        self.sheets = Sheets(floor.settings.value_bytes, floor.epoch)
         self._txn: PendingTxn | None = None
         self._pause = Steady(-1e9)
         self._most_ops: int = floor.settings.txn_ops
-        self._most_jobs = ANY_JOBS  # in one transaction
+        self._most_units = ANY_UNITS  # in one transaction
         self._aside: dict[JobId, Steady] = {}
         self._unsure: set[str] = set()  # keys whose version only a reread can tell
 
     def unwritten(self) -> int:
         """Records with placements that wait to be written."""
-        return sum(
-            1 for job in self.f.dirty.values() for c in job.chunks.values() if c.dirty and c.urgent
+        return len(
+            {
+                c.sheet
+                for job in self.f.dirty.values()
+                for c in job.chunks.values()
+                if c.dirty and c.urgent
+            }
         )
 
     # -- building
@@ -82,7 +87,7 @@
         if self._txn is not None or ops < 1 or now < self._pause:
             return None
         f = self.f
-        if not (f.ending or f.dirty or self.cleaning or self.orphans):
+        if not (f.ending or f.dirty or self.cleaning or self.orphans or self.sheets.empties()):
             return None
         if self._aside:
             self._aside = {job: until for job, until in self._aside.items() if until > now}
@@ -98,38 +103,31 @@
             job.end_sent = True
         return pending
 
-    def _held(self, pending: PendingTxn, job: Job, *keys: str) -> bool:
+    def _held(self, pending: PendingTxn, unit: str, key: str) -> bool:
         """One job's trouble must not hold back the others': it alone waits for its reread."""
-        if job.id in self._aside or any(k in self._unsure for k in keys):
+        if key in self._unsure:
             return True
-        return len(pending.jobs) >= self._most_jobs and job.id not in pending.jobs
+        return len(pending.units) >= self._most_units and unit not in pending.units
 
     def _add_ends(self, pending: PendingTxn, ops: int) -> bool:
         """Returns whether anything of less urgency may follow: not while an end waits for more
         tokens, or each token would go to a placement as it came."""
         txn = pending.txn
         for job in self.f.ending.values():
-            if self._held(pending, job, END + job.id):
+            if job.id in self._aside or self._held(pending, job.id, END + job.id):
                 continue
             how = users.CANCELLED if job.cancelled else users.DONE
-            stored = [c for c in job.chunks.values() if c.version]
-            sure = not any(place_key(job.id, c.number) in self._unsure for c in stored)
-            whole = how == users.DONE and len(stored) <= 3 and sure
-            need = 2 + len(stored) if whole else 2
-            if len(txn.writes) + need > ops:
-                if whole and need > ops:
-                    whole, need = False, 2
-                if len(txn.writes) + need > ops:
-                    return False
+            if len(txn.writes) + 2 > ops:
+                return False
             txn.guards[END + job.id] = ABSENT
             txn.writes.append(Put(END + job.id, {"e": how, "n": job.spec.tasks}))
             pending.ends.append((job, how))
-            pending.jobs.add(job.id)
+            pending.units.add(job.id)
             pending.size += 250
-            if whole:
+            if how == users.DONE:
+                # Nothing of it is anywhere: its record goes at once, and with it what sheets say.
                 txn.writes.append(Drop(JOB + job.id))
-                txn.writes += [Drop(place_key(job.id, c.number)) for c in stored]
-                pending.cleanups.append((job, [c.number for c in stored], True))
+                pending.cleanups.append(job)
             else:
                 # The marker tells a later leader that this job only waits to be cleaned up.
                 txn.writes.append(Put(GONE + job.id, {"e": how}))
@@ -162,60 +160,66 @@
         if len(pending.txn.writes) >= ops:
             return
         urgent.sort(key=lambda u: u[:4])
-        for *_, job, c in urgent:
-            if not self._add_chunk(pending, job, c, ops):
-                return
         idle.sort(key=lambda i: i[0])
-        for _, job, c in idle:
-            if not self._add_chunk(pending, job, c, ops):
+        # All of them find their sheets first, so that what is new is on few.
+        sheets = {self.sheets.of(job, c).key: None for *_, job, c in urgent}
+        sheets |= {self.sheets.of(job, c).key: None for _, job, c in idle}
+        for key in sheets:
+            if not self._add_sheet(pending, self.sheets.sheets[key], ops):
                 return
 
-    def _add_chunk(self, pending: PendingTxn, job: Job, c: Chunk, ops: int) -> bool:
+    def _add_sheet(self, pending: PendingTxn, sheet: Sheet, ops: int) -> bool:
         """Returns whether the transaction may take more."""
         txn = pending.txn
-        key = place_key(job.id, c.number)
+        key = sheet.key
         if len(txn.writes) >= ops:
             return False
-        if self._held(pending, job, key):
+        aside = sheet.alone and any(job.id in self._aside for job, _ in sheet.parts.values())
+        if aside or self._held(pending, key, key):
             return True
-        record = job.record(c)
-        size = len(orjson.dumps(record)) + 2 * len(key) + 60
+        record, size = self.sheets.record(sheet)
+        size += 2 * len(key) + 60
         if pending.size + size > TXN_BYTES:
             return not pending.size
         pending.size += size
-        txn.guards[key] = c.version
+        txn.guards[key] = sheet.version
         txn.writes.append(Put(key, record))
-        planned = [p for p in c.placements.values() if p.phase is Phase.PLANNED]
-        ended = [p for p in c.placements.values() if p.phase is Phase.ENDED]
-        c.dirty = c.urgent = False
-        pending.chunks.append((job, c, planned, ended))
-        pending.jobs.add(job.id)
+        pending.sheets.append(sheet)
+        pending.units.add(key)
+        for job, c in sheet.parts.values():
+            if not c.dirty:
+                continue
+            planned = [p for p in c.placements.values() if p.phase is Phase.PLANNED]
+            ended = [p for p in c.placements.values() if p.phase is Phase.ENDED]
+            c.dirty = c.urgent = False
+            pending.chunks.append((job, c, planned, ended))
         return True
 
     def _add_cleanups(self, pending: PendingTxn, ops: int) -> None:
         txn = pending.txn
         for job in self.cleaning.values():
-            left = ops - len(txn.writes)
-            if left < 2:
+            if len(txn.writes) + 2 > ops:
                 return
             there = any(p.phase is not Phase.ENDED for p in job.placements())
-            if there or self._held(pending, job):
-                continue
-            stored = [c.number for c in job.chunks.values() if c.version]
-            final = len(stored) + 2 <= left
-            numbers = stored if final else stored[: max(0, left - 2)]
-            if not final and not numbers:
+            if there or job.id in self._aside or self._held(pending, job.id, JOB + job.id):
                 continue
-            txn.writes += [Drop(place_key(job.id, n)) for n in numbers]
-            if final:
-                txn.writes += [Drop(JOB + job.id), Drop(GONE + job.id)]
-            pending.cleanups.append((job, numbers, final))
-            pending.jobs.add(job.id)
+            txn.writes += [Drop(JOB + job.id), Drop(GONE + job.id)]
+            pending.cleanups.append(job)
+            pending.units.add(job.id)
         while self.orphans and len(txn.writes) < ops:
             key, version = self.orphans.pop()
             txn.guards[key] = version
             txn.writes.append(Drop(key))
             pending.orphans.append((key, version))
+        if txn.writes or self.f.dirty:
+            return  # an empty sheet may be of use yet
+        for sheet in self.sheets.empties():
+            if len(txn.writes) >= ops or self._held(pending, sheet.key, sheet.key):
+                return
+            txn.guards[sheet.key] = sheet.version
+            txn.writes.append(Drop(sheet.key))
+            pending.dropped.append(sheet)
+            pending.units.add(sheet.key)
 
     # -- outcomes
 
@@ -230,7 +234,7 @@
             self._pause = Steady(now + WRITE_PAUSE_S)
         if outcome is Outcome.OK:
             self._most_ops = min(self.f.settings.txn_ops, self._most_ops * 2)
-            self._most_jobs = min(ANY_JOBS, self._most_jobs * 2)
+            self._most_units = min(ANY_UNITS, self._most_units * 2)
             self._committed(pending, revision, now)
             return False
         log.info(
@@ -251,8 +255,7 @@
             return False
         # An earlier try of one of these writes was applied, or this one may be: only the keys
         # themselves can tell their versions. An orphan's conflict means that it is gone.
-        for job, c, _, _ in pending.chunks:
-            self._unsure.add(place_key(job.id, c.number))
+        self._unsure.update(sheet.key for sheet in (*pending.sheets, *pending.dropped))
         for job, _ in pending.ends:
             # It may yet be applied, whatever a reread finds, and then be told elsewhere.
             job.end_unsure = True
@@ -263,18 +266,24 @@
     def _split(self, pending: PendingTxn, now: Steady) -> None:
         """Refused for what it is, by its size or by one bad key: repeated as it is, it would hold
         everything back for ever. So it is cut in two until the job at fault stands alone."""
-        jobs = pending.jobs
-        if len(jobs) > 1:
-            self._most_jobs = len(jobs) // 2
+        units = pending.units
+        if len(units) > 1:
+            self._most_units = len(units) // 2
+            return
+        if pending.sheets and len(pending.sheets[0].parts) > 1:
+            self.sheets.split(pending.sheets[0])
             return
         if len(pending.txn.writes) > 2:
             self._most_ops = max(2, len(pending.txn.writes) // 2)
             return
-        if not jobs:
+        if not units:
             self.orphans.clear()  # nobody misses them; a later leader may try again
-        for job in jobs:
-            log.error("record refused job=%s", job)
-            self._aside[job] = Steady(now + ASIDE_S)
+        for sheet in pending.dropped:
+            self.sheets.forget(sheet)
+        at_fault = [*(j for j, *_ in pending.chunks), *(j for j, _ in pending.ends)]
+        for job in [*at_fault, *pending.cleanups]:
+            log.error("record refused job=%s", job.id)
+            self._aside[job.id] = Steady(now + ASIDE_S)
 
     def reread_done(self, key: str, item: Item | None, now: Steady) -> None:
         self.reread.discard(key)
@@ -287,18 +296,22 @@
                 self._ended(job, end_of(item.value), now)
                 self.cleaning[job.id] = job
             return
-        job_id, _, number = key[len(PLACE) :].rpartition("/")
-        job = self.f.jobs.get(JobId(job_id))
-        if job is not None and int(number) in job.chunks:
-            job.chunks[int(number)].version = ABSENT if item is None else item.version
+        sheet = self.sheets.get(key)
+        if sheet is not None:
+            sheet.version = ABSENT if item is None else item.version
 
     def _committed(self, pending: PendingTxn, revision: Revision, now: Steady) -> None:
         f = self.f
         for job, how in pending.ends:
             self._ended(job, how, now)
             self.cleaning[job.id] = job
+        for sheet in pending.sheets:
+            sheet.version = revision
+        for sheet in pending.dropped:
+            if sheet.empty:
+                self.sheets.forget(sheet)
+            sheet.version = ABSENT
         for _, c, planned, ended in pending.chunks:
-            c.version = revision
             for p in planned:
                 if p.phase is Phase.PLANNED:
                     p.phase = Phase.WANTED
@@ -312,18 +325,15 @@
                 if m is not None:
                     f.fleet.forget(m, p)
                     f.want(m)  # what is recorded as done may be cleared there
-        for job, numbers, final in pending.cleanups:
-            for n in numbers:
-                if n in job.chunks:
-                    job.chunks[n].version = ABSENT
-            if final:
-                self.cleaning.pop(job.id, None)
-                f.jobs.remove(job)
-                for p in job.placements():
-                    m = f.fleet.get(p.machine)
-                    if m is not None:
-                        f.fleet.forget(m, p)
-                        f.want(m)
+        for job in pending.cleanups:
+            self.cleaning.pop(job.id, None)
+            self.sheets.drop(job)
+            f.jobs.remove(job)
+            for p in job.placements():
+                m = f.fleet.get(p.machine)
+                if m is not None:
+                    f.fleet.forget(m, p)
+                    f.want(m)
 
     def _ended(self, job: Job, how: str, now: Steady) -> None:
         f = self.f
--- a/src/eldercart/net/electing.py
+++ b/src/eldercart/net/electing.py
@@ -121,11 +121,23 @@
                 self._watching = False
                 return
             if status == 410:
-                e.lead_changed(self.node.clock())
-                self._seen = Revision(e.epoch)
+                self._seen_anew()
+                return
             reactor.callLater(1.0, self._again)
 
         self.node.store.watch(LEAD_KEY, self._seen, 20.0, changed)
 
+    def _seen_anew(self) -> None:
+        """More has changed since than the store keeps, as after a cut of less than a minute. The
+        key's own version may be older still: only a list tells from where to watch on."""
+
+        def listed(items: list[Item] | None, revision: Revision) -> None:
+            if items is not None:
+                self._seen = max(self._seen, revision)
+                self.node.election.lead_changed(self.node.clock())
+            reactor.callLater(0.0 if items is not None else 1.0, self._again)
+
+        self.node.store.range(LEAD_KEY, listed)
+
     def _again(self) -> None:
         self._watching = False
--- a/src/eldercart/net/relaying.py
+++ b/src/eldercart/net/relaying.py
@@ -226,9 +226,11 @@
         reports, self._reports = self._reports, []
         polls, self._polls = self._polls, []
         link = self._link_to(self.relay.leader)
-        if reports and (link is None or not link.send(peers.reports(self.relay.epoch, reports))):
-            now = self.node.clock()
-            for number, _ in reports:
+        now = self.node.clock()
+        for batch in peers.batches(reports):
+            if link is not None and link.send(peers.reports(self.relay.epoch, batch)):
+                continue
+            for number, _ in batch:
                 held = self._held.pop(number, None)
                 if held is not None:
                     self._give_up(held, now)
@@ -329,11 +331,12 @@
         elif kind == peers.REPORTS:
             epoch, items = peers.parse_reports(frame)
             sender = channel.peer or NodeId("")
-            answers = [
-                peers.Answer(number, *leading.take_raw(obj, epoch, sender, now))
-                for number, obj in items
-            ]
-            channel.send(peers.answers(answers))
+            for start in range(0, len(items), peers.BATCH_ITEMS):
+                answers = [
+                    peers.Answer(number, *leading.take_raw(obj, epoch, sender, now))
+                    for number, obj in items[start : start + peers.BATCH_ITEMS]
+                ]
+                channel.send(peers.answers(answers))
             leading.pump_soon()
         elif kind == peers.POLLS:
             told = [leading.tell(number, JobId(job)) for number, job in peers.parse_asked(frame)]
--- a/src/eldercart/net/server.py
+++ b/src/eldercart/net/server.py
@@ -103,7 +103,7 @@
     def __init__(self, route: Callable[[JsonRequest], None], most: int) -> None:
         super().__init__(timeout=120, reactor=reactor)
         self.route = route
-        self._most = most
+        self.most = most
         self.open = 0
 
     def log(self, request: Any) -> None:
@@ -116,7 +116,7 @@
         pass
 
     def buildProtocol(self, addr: Any) -> Any:
-        if self.open >= self._most:
+        if self.open >= self.most:
             return None
         channel = JsonChannel()
         channel.factory = self
@@ -126,5 +126,7 @@
 
 
 def listen(endpoint: Endpoint, factory: JsonFactory) -> None:
-    port = reactor.listenTCP(endpoint.port, factory, backlog=256, interface=endpoint.host)
+    # All workers may come at once, when theirs is the only node left: a full queue costs each of
+    # them a time-out, and several of those its lease.
+    port = reactor.listenTCP(endpoint.port, factory, backlog=factory.most, interface=endpoint.host)
     port.transport = EagerServer
--- a/src/eldercart/wire/peers.py
+++ b/src/eldercart/wire/peers.py
@@ -6,6 +6,7 @@
 reach a later one.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +17,10 @@
 
 MAX_FRAME = 4 * 1024 * 1024
 
+# All workers may report in the same moment, each up to 64 KiB, and be answered as much: a frame
+# that is too long would end the connection, and again with each try.
+BATCH_BYTES, BATCH_ITEMS = 1024 * 1024, 40
+
 # Kinds of frames: asked by the one that connected …
 GREET, REPORTS, POLLS, CANCEL = "greet", "reports", "polls", "cancel"
 DROPPED = "dropped"  # machines whose answers came too late to be passed on
@@ -112,6 +117,20 @@
     )  # fmt: skip
 
 
+def batches(items: list[tuple[int, bytes]]) -> Iterator[list[tuple[int, bytes]]]:
+    """Cut so that each fits into a frame."""
+    batch: list[tuple[int, bytes]] = []
+    size = 0
+    for item in items:
+        if batch and size + len(item[1]) > BATCH_BYTES:
+            yield batch
+            batch, size = [], 0
+        batch.append(item)
+        size += len(item[1])
+    if batch:
+        yield batch
+
+
 def reports(epoch: Epoch, items: list[tuple[int, bytes]]) -> bytes:
     """The reports go on as they came, without being written anew."""
     inner = b",".join(b"[%d,%b]" % (number, body) for number, body in items)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -221,9 +221,9 @@
     seen: dict[str, int] = {}
     for _ in range(40):
         w.run(1)
-        for item in w.store.range("place/"):
-            assert item["v"]["a"] >= seen.get(item["path"], 0)
-            seen[item["path"]] = item["v"]["a"]
+        for part in w.parts("wk-000001"):
+            assert part["a"] >= seen.get("wk-000001", 0)
+            seen["wk-000001"] = part["a"]
         if w.rng.random() < 0.2:
             w.elect()
     assert seen
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -60,9 +60,10 @@
     assert not unanswered, name
 
 
-def test_refused_transaction_is_cut_until_the_job_at_fault_stands_alone() -> None:
-    """A record that the store calls malformed, for its size or its key, must not be repeated with
-    all others for ever."""
+@pytest.mark.parametrize("sections", [False, True])
+def test_refused_transaction_is_cut_until_the_job_at_fault_stands_alone(sections: bool) -> None:
+    """A record that the store calls malformed, for its size, its key or (`sections`) what it
+    says of that job on a sheet with others, must not be repeated with all others for ever."""
     w = World(2)
     submit_all(w)
     w.submit("wk-000099")
@@ -77,7 +78,9 @@
         w.serve_cloud(c, now)
         pending = c.next_txn(now, 20)
         if pending is not None:
-            if any("wk-000099" in write.key for write in pending.txn.writes):
+            if any("wk-000099" in write.key for write in pending.txn.writes) or (
+                sections and b"wk-000099" in pending.txn.body()
+            ):
                 c.txn_done(pending, Outcome.MALFORMED, Revision(0), (), now)
             else:
                 status, answer = w.store.txn(pending.txn.body())
@@ -97,8 +100,8 @@
     w.submit("wk-000001", run_s=30.0)
     w.submit("wk-000002", run_s=5.0)
     w.run(12)
-    key = next(i["path"] for i in w.store.range("place/wk-000001/"))
-    w.store.keys[key] = ({"a": "x", "d": [[0]], "r": None}, w.store.keys[key][1], None)
+    (part,) = w.parts("wk-000001")
+    part |= {"a": "x", "d": [[0]], "r": None}
     w.elect()
     c = w.controller
     assert c is not None
@@ -112,6 +115,65 @@
     assert not [p for p in c.jobs.jobs[JobId("wk-000001")].placements()]
 
 
+# -- sheets
+
+
+def test_burst_of_small_jobs_takes_few_changes() -> None:
+    """With a record for each job the store's limit left half of a large fleet idle, its tasks
+    placed and waiting to be written."""
+    w = World(31, capacity=30)
+    w.run(10)
+    writes = len(w.store.log)
+    for i in range(60):
+        w.submit(f"wk-{i:06d}", parcels=4, run_s=4.0, cpus=2.0)
+        w.run(0.3)
+    finish(w, 200.0)
+    sheets = {e["put"] for _, e in w.store.log if "put" in e and e["put"].startswith("place/")}
+    assert len(sheets) < 15
+    # Accepted, ended and cleaned up takes three each; a record for each job took 372 in all.
+    assert len(w.store.log) - writes < 60 * 5
+
+
+def test_part_that_is_on_two_sheets_counts_as_the_newer_has_it() -> None:
+    """A sheet was split, and the leader died before the old one was written again."""
+    w = World(32)
+    for i in (1, 2):
+        w.submit(f"wk-00000{i}", parcels=3, run_s=100.0)
+    w.run(14)
+    (old,) = w.store.range("place/")
+    assert len(old["v"]["p"]) == 2
+    moved = orjson.loads(orjson.dumps(old["v"]["p"][0]))
+    moved[2]["a"] += 7
+    moved[2]["r"][0][1] = moved[2]["a"]
+    w.store.revision += 1
+    w.store.keys["place/moved"] = ({"p": [moved]}, w.store.revision, None)
+    w.elect()
+    c = w.controller
+    assert c is not None
+    job = c.jobs.jobs[JobId(moved[0])]
+    assert job.chunks[0].attempt == moved[2]["a"]
+    assert sorted(p.attempt for p in job.placements()) == sorted(r[1] for r in moved[2]["r"])
+    assert len(list(job.placements())) == 3 and len(c.fleet.machines) > 0
+
+
+def test_records_of_the_release_before_are_read() -> None:
+    w = World(33)
+    w.submit("wk-000001", parcels=3, run_s=20.0)
+    w.run(12)
+    (sheet,) = w.store.range("place/")
+    part = sheet["v"]["p"][0]
+    del w.store.keys[sheet["path"]]
+    w.store.revision += 1
+    w.store.keys["place/wk-000001/00000"] = (part[2], w.store.revision, None)
+    w.elect()
+    c = w.controller
+    assert c is not None
+    assert len(list(c.jobs.jobs[JobId("wk-000001")].placements())) == len(part[2]["r"]) > 0
+    finish(w)
+    w.run(5)
+    assert not w.store.range("place/")
+
+
 # -- nobody starves
 
 
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,32 @@
+"""The watch on the leader key after a cut in which more has changed than the store keeps."""
+
+from types import SimpleNamespace
+from typing import Any
+
+from eldercart.election import Election, ReadLead
+from eldercart.net import electing
+from eldercart.net.electing import Electing
+from eldercart.units import LifeId, NodeId, Revision, Steady
+
+
+def test_watch_goes_on_from_what_a_list_tells(monkeypatch: Any) -> None:
+    """The leader key's own version may be too old as well: to watch from there is refused at once,
+    again and again, and a change of leader would be seen late."""
+    asked: list[tuple[Revision, Any]] = []
+    store = SimpleNamespace(
+        watch=lambda key, after, wait_s, done: asked.append((after, done)),
+        range=lambda key, done: done([], Revision(50_000)),
+    )
+    election = Election(NodeId("n0"), 2.0, 0.02, LifeId("x"))
+    node = SimpleNamespace(store=store, election=election, clock=lambda: Steady(7.0))
+    monkeypatch.setattr(
+        electing, "reactor", SimpleNamespace(callLater=lambda _, what, *args: what(*args))
+    )
+    e = Electing(node)  # type: ignore[arg-type]
+    e._watch()
+    after, done = asked[-1]
+    assert after == 0
+    done(410, Revision(0), [])
+    e._watch()
+    assert [after for after, _ in asked] == [0, 50_000]
+    assert isinstance(election.next_action(Steady(7.0)), ReadLead), "it asks who leads now"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,7 +8,7 @@
 
 from eldercart.core import placement as rules
 from eldercart.settings.platform import parse_platform
-from eldercart.wire import Malformed, cloud, state, users, workers
+from eldercart.wire import Malformed, cloud, peers, state, users, workers
 from eldercart.wire.checks import load_object
 from standins import CATALOG
 from world import PLATFORM, submission
@@ -139,6 +139,18 @@
     assert len(workers.commands_body(workers.Epoch(3), many)) < 64 * 1024
 
 
+@pytest.mark.parametrize(("number", "size"), [(0, 10), (1, 64_000), (200, 60_000), (5000, 900)])
+def test_batches_of_reports_fit_their_frames(number: int, size: int) -> None:
+    """After a standstill all workers' reports may be handed on in one moment."""
+    body = b'{"a":"%b"}' % (b"x" * size)
+    items = [(i, body) for i in range(number)]
+    frames = [peers.reports(workers.Epoch(3), batch) for batch in peers.batches(items)]
+    assert all(len(f) <= peers.MAX_FRAME for f in frames)
+    got = [n for f in frames for n, _ in peers.parse_reports(peers.parse(f))[1]]
+    assert got == list(range(number))
+    assert peers.BATCH_ITEMS * workers.MAX_COMMANDS * 100 <= peers.MAX_FRAME
+
+
 @pytest.mark.parametrize(
     ("parse", "body"),
     [
--- a/tests/world.py
+++ b/tests/world.py
@@ -222,13 +222,17 @@
 
     # -- the rules
 
+    def parts(self, job: str) -> list[dict[str, Any]]:
+        """What the store holds of the job's placements; a part that was moved counts once."""
+        found = {}
+        for item in sorted(self.store.range("place/"), key=lambda i: i["stamp"]):
+            found |= {number: value for name, number, value in item["v"]["p"] if name == job}
+        return list(found.values())
+
     def check_durable(self, launch: workers.Launch, w: WorkerSim) -> None:
         job, index = launch.key.split("/")
         entries = [
-            entry
-            for item in self.store.range(f"place/{job}/")
-            for entry in item["v"]["r"]
-            if entry[0] == int(index)
+            entry for part in self.parts(job) for entry in part["r"] if entry[0] == int(index)
         ]
         assert [int(index), launch.attempt, w.id] in entries, "launched before it was written"
 
