A node that loses its workers only: their machines get time to find another

A worker waits 4 s for an answer and asks another node a second later; with the interval before it that is up to 8.6 s, and a machine's patience is 7.5: 33 healthy machines were deleted. When at least half of a node's machines fall silent together, each gets half a lease more. Ruled out: a longer patience for all, since machines that die alone are the common case. Test fails without the guard, for leader and relay.

--- a/src/eldercart/core/machines.py
+++ b/src/eldercart/core/machines.py
@@ -21,6 +21,7 @@
 PROBE_S = 2.0  # between two such questions
 PROBES = 4  # handed out at once
 CUT_LEASES = 5.0  # for which a machine is left alone that shows itself, but not through its relay
+MUTE_SHARE, MUTE_LEAST = 0.5, 4  # of a node's machines, whose silence together is the node's
 UNHEARD_S = 2.0  # without a word from a relay, after which its machines' silence may be its own
 
 
@@ -35,6 +36,7 @@
         self._tasks_due = floor.began
         self._relays: dict[NodeId, Steady] = {}  # when each was heard last
         self._probes: dict[MachineId, None] = {}
+        self._mute: set[NodeId] = set()  # nodes of whose machines most fell silent together
 
     # -- reports
 
@@ -342,6 +344,7 @@
         if tasks:
             self._tasks_due = Steady(now + TASKS_S)
         patience = self.patience
+        self._find_mute(now)
         for m in self.f.fleet.machines.values():
             if m.life is Life.LEAVING:
                 continue
@@ -359,6 +362,23 @@
             elif tasks and (m.live or m.queue):
                 self._watch_tasks(m, now)
 
+    def _find_mute(self, now: Steady) -> None:
+        """A node may lose its workers, and nothing else: they wait 4 s for an answer and report to
+        another a second later, which can take longer than a machine's patience. A machine dies
+        alone, or with others that report elsewhere."""
+        late = 1.5 * self.f.settings.report_s
+        counts: dict[NodeId, list[int]] = {}
+        for m in self.f.fleet.machines.values():
+            if m.life is Life.UP and m.relay is not None:
+                count = counts.setdefault(m.relay, [0, 0])
+                count[0] += 1
+                count[1] += now - m.last_heard > late
+        self._mute = {
+            node
+            for node, (number, silent) in counts.items()
+            if silent >= max(MUTE_LEAST, MUTE_SHARE * number)
+        }
+
     def _boot_limit(self, m: Machine) -> float:
         boot: float = max(self.f.tuning.boot_patience * m.type.boot_s, 10.0)
         return boot + self.f.settings.list_lag_s
@@ -381,8 +401,8 @@
                 # lets go of it within its grant; one that can't reach this node, but the store,
                 # goes on answering what is unchanged.
                 limit += self.f.settings.lease_s * (CUT_LEASES if unheard else 1.0)
-            elif unheard:
-                # Its relay is silent: it needs time to find another.
+            elif unheard or m.relay in self._mute:
+                # Its node is silent, or hears no worker: it needs time to find another.
                 limit += self.f.settings.lease_s / 2
         return now - m.last_heard > limit
 
--- a/tests/relayworld.py
+++ b/tests/relayworld.py
@@ -43,6 +43,8 @@
         self.later: list[tuple[float, int, Any]] = []  # (when, number, what to do then)
         self.number = 0
         self.cut: set[int] = set()  # nodes that reach neither store nor peers
+        self.shared_out = True  # workers are sent on to other nodes by their numbers
+        self.mute: set[int] = set()  # nodes that no worker reaches
         self.asleep: int | None = None  # a node that does not run at all
         self.deaf: set[str] = set()  # machines that no answer reaches
         self.copies = 0
@@ -113,7 +115,8 @@
         for i, relay in enumerate(self.relays):
             if i in self.cut or i == self.asleep or self.chance("mesh_lost"):
                 continue
-            share = told.get(relay.label, Share(500, None))
+            anywhere = Share(500, None)
+            share = told.get(relay.label, anywhere) if self.shared_out else anywhere
             c.heard(relay.label, relay.take_heard(now), now)
             asked = Steady(now - RPC_S)
             relay.granted(
@@ -157,7 +160,7 @@
 
     def arrive(self, w: WorkerSim, f: Flight, at: int) -> None:
         """At a node: the report itself, or a copy of it that nobody waits for any more."""
-        if at == self.asleep:
+        if at == self.asleep or at in self.mute:
             return
         relay, now = self.relays[at], Steady(self.now)
         reachable = at == self.leader or (at not in self.cut and self.leader not in self.cut)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -214,6 +214,31 @@
     assert all(name in w.cloud.machines for name in before), "a healthy machine was deleted"
 
 
+@pytest.mark.parametrize("leads", [True, False])
+@pytest.mark.parametrize("seed", range(3))
+def test_node_that_loses_its_workers_only(leads: bool, seed: int) -> None:
+    """It reaches store and peers, and its workers wait in vain. Of 400 machines that reported to
+    a leader, 33 were deleted before they had found another node."""
+    w = RelayWorld(seed, capacity=12)
+    w.submit("wk-000001", run_s=60.0, parcels=60)
+    w.run(16)
+    c = w.controller
+    assert c is not None
+    at = w.leader if leads else next(i for i in range(w.nodes) if i != w.leader)
+    w.shared_out = False
+    for name in w.cloud.machines:
+        w.at[name] = at
+    w.run(3)
+    before = {name for name, m in w.cloud.machines.items() if m.tasks}
+    assert sum(w.at[name] == at for name in before) >= 4
+    for name in before:
+        w.reports_due[name] = w.now + 1.25 * w.settings.report_s
+    w.mute.add(at)
+    w.run(15)
+    assert before <= set(w.cloud.machines), "a healthy machine was deleted"
+    finish(w)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_machine_that_talks_but_does_not_hear(seed: int) -> None:
     """Its reports come, so it is never silent; what it does not do gives it away."""
