--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -271,7 +271,9 @@
             self._most_units = len(units) // 2
             return
         if pending.sheets and len(pending.sheets[0].parts) > 1:
-            self.sheets.split(pending.sheets[0])
+            for job, c in self.sheets.split(pending.sheets[0]):
+                self.f.jobs.touch(job, c, now, urgent=True)
+                self.f.dirty[job.id] = job
             return
         if len(pending.txn.writes) > 2:
             self._most_ops = max(2, len(pending.txn.writes) // 2)
--- a/src/eldercart/core/sheets.py
+++ b/src/eldercart/core/sheets.py
@@ -38,10 +38,6 @@
     def empty(self) -> bool:
         return not self.parts and not self.unread
 
-    @property
-    def urgent(self) -> bool:
-        return any(c.dirty and c.urgent for _, c in self.parts.values())
-
 
 def part_bytes(job: Job, chunk: Chunk) -> int:
     """The most that the part can come to take."""
@@ -105,17 +101,19 @@
                 self._open.pop(sheet.key, None)
                 self._open[sheet.key] = sheet
 
-    def split(self, sheet: Sheet) -> None:
+    def split(self, sheet: Sheet) -> list[tuple[Job, Chunk]]:
         """The store refuses it for what it is: each part gets a sheet of its own, so that one job's
-        trouble holds back no other. What the old one still says is older, see `load`."""
-        for job, chunk in list(sheet.parts.values()):
+        trouble holds back no other. All of them must be written before the old one may go; until
+        then it holds what is known of them, and later what is older, see `load`."""
+        parts = list(sheet.parts.values())
+        for job, chunk in parts:
             own = self._new()
             own.alone = True
             self._put(own, job, chunk, part_bytes(job, chunk))
-            chunk.dirty = chunk.urgent = True
         sheet.parts.clear()
         sheet.alone = True
         self._open.pop(sheet.key, None)
+        return parts
 
     def empties(self) -> list[Sheet]:
         return [s for s in self.sheets.values() if s.empty and s.version]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -88,6 +88,7 @@
                 c.txn_done(pending, Outcome.OK, Revision(answer["ledgerRev"]), (), now)
         for m in list(w.cloud.machines.values()):
             w.serve_worker(c, m, now, 0.1)
+        w.check_kept()
         if sum(f"end/{job}" in w.store.keys for job in w.jobs) == len(w.jobs) - 1:
             break
     assert {j for j in w.jobs if f"end/{j}" not in w.store.keys} == {"wk-000099"}
@@ -161,6 +162,28 @@
     assert len(list(job.placements())) == 3 and len(c.fleet.machines) > 0
 
 
+def test_split_sheet_stays_until_all_its_parts_are_written() -> None:
+    """What had not changed on it must be written anew too, or it would go with the old sheet."""
+    w = World(34)
+    for i in (1, 2, 3):
+        w.submit(f"wk-00000{i}", parcels=2, run_s=300.0)
+    w.run(16)
+    c = w.controller
+    assert c is not None and len(w.store.range("place/")) == 1
+    job = c.jobs.jobs[JobId("wk-000001")]
+    c.jobs.touch(job, job.chunks[0], Steady(w.now), urgent=True)
+    c.floor.dirty[job.id] = job
+    refused = c.next_txn(Steady(w.now), 20)
+    assert refused is not None and len(refused.units) == 1
+    c.txn_done(refused, Outcome.MALFORMED, Revision(0), (), Steady(w.now))
+    for _ in range(50):
+        w.run(0.1)
+        w.check_kept()
+    assert len(w.store.range("place/")) == 3
+    w.elect()
+    w.check_kept()
+
+
 def test_records_of_the_release_before_are_read() -> None:
     w = World(33)
     w.submit("wk-000001", parcels=3, run_s=20.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,7 +8,7 @@
 import orjson
 
 from eldercart.core.controller import Controller, Delete, GetCatalog, ListPage, Outcome, Rent
-from eldercart.core.jobs import chunk_size, job_record
+from eldercart.core.jobs import Phase, chunk_size, job_record
 from eldercart.election import LEAD_KEY
 from eldercart.settings import load_tuning
 from eldercart.settings.platform import parse_platform
@@ -224,6 +224,15 @@
 
     # -- the rules
 
+    def check_kept(self) -> None:
+        """Whatever may be on a machine is in the store, so that a new leader knows of it."""
+        assert self.controller is not None
+        for job in self.controller.jobs.jobs.values():
+            stored = {(r[0], r[1], r[2]) for part in self.parts(job.id) for r in part["r"]}
+            for p in job.placements():
+                if p.maybe_there and p.phase is not Phase.ENDED:
+                    assert (p.index, p.attempt, p.machine) in stored, f"not kept: {p.key}"
+
     def parts(self, job: str) -> list[dict[str, Any]]:
         """What the store holds of the job's placements; a part that was moved counts once."""
         found = {}
