Quota after a change of leader: what was written ahead is counted before it is launched

The old leader counts what it has written ahead only when it launches it. To the new one all of it looks launched; as room came free on those machines it launched all of it, whatever the sum. Now a task that a report lacks is launched only if all that may run of its team is within the limit.

--- a/src/eldercart/core/machines.py
+++ b/src/eldercart/core/machines.py
@@ -206,6 +206,11 @@
             # Written ahead by an earlier leader for room that is not there: not launched.
             f.void(p, now)
             return False
+        if rules.over_limit(p.job.spec, f.fleet, f.settings.teams):
+            # Written ahead by an earlier leader, which would have counted it when it was launched:
+            # this one has counted all of them, and together they are more than the team may use.
+            f.void(p, now)
+            return False
         # Again if need be: absence from a newer report shows that a launch was dropped.
         again = p.told > 0
         p.since_known = True
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -95,6 +95,15 @@
     return max(0, n)
 
 
+def over_limit(spec: JobSpec, fleet: Fleet, teams: dict[str, Team]) -> bool:
+    """Whether all that may run of the team, this task among it, is more than its limit."""
+    team = teams.get(spec.team)
+    if team is None:
+        return True
+    cpus, gpus = fleet.team_cpus.get(spec.team, 0.0), fleet.team_gpus.get(spec.team, 0.0)
+    return 0 < team.cpus_max < cpus - EPS or 0 < team.gpus_max < gpus - EPS
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     machine: Machine
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -102,6 +102,22 @@
     finish(w)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_what_was_written_ahead_keeps_the_limit_under_a_new_leader(seed: int) -> None:
+    """A hunt's day broke the quota just after a change of leader. The old one counts what it has
+    written ahead only when it launches it; to the new one all of it looks launched, and as room
+    came free on the machines, it launched all of it."""
+    w = World(seed, capacity=12)
+    for i in range(3):
+        w.submit(f"wk-00000{i}", parcels=20, cpus=2.0, run_s=9.0, crew="t1")
+        w.submit(f"wk-10000{i}", parcels=20, cpus=2.0, run_s=9.0)
+    for _ in range(8):
+        w.run(6.0)
+        assert w.controller is not None
+        w.elect()
+    finish(w)
+
+
 def test_state_outage_longer_than_a_lease() -> None:
     """Reports go on being answered, so leases live; what was written ahead still starts."""
     w = World(4, capacity=3)
