--- a/src/eldercart/net/eager.py
+++ b/src/eldercart/net/eager.py
@@ -13,8 +13,10 @@
     """The server side of a connection; falls back on the reactor when the socket is full."""
 
     def startWriting(self) -> None:
-        if self.disconnecting or self.dataBuffer or self.doWrite() is not None or self.dataBuffer:
-            # The reactor finds out what the matter is, and closes the connection in its own turn.
+        # Asked for without anything to send, it means to close: that is the reactor's turn, as is
+        # whatever the matter may be with a socket that takes nothing.
+        fresh = self._tempDataLen and not self.disconnecting and not self.dataBuffer
+        if not fresh or self.doWrite() is not None or self.dataBuffer:
             super().startWriting()
 
 
