Cancelled tasks go although the store is away and workers hear an older leader

A leader refused by the store alone went on granting for as long as it heard any peer, and its relays for as long as they heard it; whoever had been elected meanwhile could confirm cancellations and then had no way to the machines but their reports. Now a leader's grant counts from when it was sure that no other node led: the store's confirmation of its hold, or the answers of every other node to its greetings (a node that has not read the leader key since its start vouches for nothing); if one is not heard, at most so long that two grants and a lease end within cancel_s of the end of the hold. Settings that leave no such time are said at the start. A relay that hears of a higher epoch lets its grant go within a second and asks the other at once. Kills of cancelled tasks also go straight to /orders under the new epoch: at once where the task has not started, later where a report does not show them; the answer proves a machine clean once no launch can be under way any more.

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -27,7 +27,7 @@
 from eldercart.core.fleet import Life
 from eldercart.core.floor import Floor
 from eldercart.core.jobs import GONE, JOB, Phase, end_of, parse_job_record
-from eldercart.core.machines import Machines
+from eldercart.core.machines import Machines, Order
 from eldercart.core.planner import Planner
 from eldercart.core.records import Outcome, PendingTxn, Records
 from eldercart.election import LEAD_KEY
@@ -227,6 +227,13 @@
     def shown(self, machine: MachineId, now: Steady) -> None:
         self.machines.shown(machine, now)
 
+    def take_orders(self, now: Steady) -> list[Order]:
+        """Kills that go straight to the workers."""
+        return self.machines.take_orders(now)
+
+    def ordered(self, r: workers.Report, executed: bool, sent: Steady, now: Steady) -> None:
+        self.machines.ordered(r, executed, sent, now)
+
     def take_probes(self) -> list[tuple[MachineId, str]]:
         return self.machines.take_probes()
 
@@ -347,6 +354,6 @@
 
 
 __all__ = [
-    "CloudCall", "Controller", "Delete", "GetCatalog", "JobStatus", "ListPage", "Outcome",
-    "PendingTxn", "Rent", "Verdict",
+    "CloudCall", "Controller", "Delete", "GetCatalog", "JobStatus", "ListPage", "Order",
+    "Outcome", "PendingTxn", "Rent", "Verdict",
 ]  # fmt: skip
--- a/src/eldercart/core/fleet.py
+++ b/src/eldercart/core/fleet.py
@@ -13,6 +13,7 @@
     MachineId,
     NodeId,
     ReportOrder,
+    Session,
     Steady,
     TaskKey,
 )
@@ -74,6 +75,9 @@
     # Whether it was asked directly, because nothing was heard of it, and answered.
     probed: Steady = Steady(-1e9)
     shown: Steady = Steady(-1e9)
+    # Direct commands: when the last one went out, and the session that the worker showed then.
+    ordered: Steady = Steady(-1e9)
+    session: Session = Session(0)
     wanted: bool = False
 
     @property
--- a/src/eldercart/core/floor.py
+++ b/src/eldercart/core/floor.py
@@ -41,6 +41,7 @@
         self.dirty: dict[JobId, Job] = {}
         self.ending: dict[JobId, Job] = {}  # complete or cancelled, end not yet durable
         self.doomed: dict[MachineId, None] = {}
+        self.orders: dict[MachineId, None] = {}  # machines to be told directly what to kill
         self.work_done = self.work_lost = 0.0  # CPU seconds, as seen here
         self.start_waits: list[float] = []  # seconds from submission, of tasks that began
         self._wants: dict[MachineId, Machine] = {}
@@ -70,6 +71,8 @@
             self.void(p, now)
         elif m is not None:
             self.want(m)
+            if p.job.cancelled and p.phase in (Phase.WANTED, Phase.FETCHING):
+                self.orders[m.id] = None  # it would start before its machine reports
 
     def stop_all(self, job: Job, now: Steady) -> None:
         for p in list(job.placements()):
--- a/src/eldercart/core/machines.py
+++ b/src/eldercart/core/machines.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from eldercart.core import placement as rules
 from eldercart.core.cloudwork import unknown_type
@@ -9,7 +10,7 @@
 from eldercart.core.floor import Floor
 from eldercart.core.jobs import Phase, Placement
 from eldercart.core.planner import Planner
-from eldercart.units import NO_REPORT, MachineId, NodeId, ReportOrder, Steady
+from eldercart.units import NO_REPORT, MachineId, NodeId, ReportOrder, Session, Steady
 from eldercart.wire import workers
 
 log = logging.getLogger("eldercart.controller")
@@ -20,11 +21,27 @@
 PROBE_FROM = 0.7  # of the patience, after which a silent machine is asked directly
 PROBE_S = 2.0  # between two such questions
 PROBES = 4  # handed out at once
+ORDER_S = 2.0  # between two direct commands to a machine
+ORDER_AFTER = 2.5  # report intervals, in which a kill that went into an answer shows
+ORDERS_RATE = 120.0  # a second on a whole core: a connection each, which costs a millisecond
+# A worker drops an answer 4 s after it sent the report: by then a launch sent before the stop has
+# been carried out, or never will be.
+LAUNCH_LATE_S = 4.5
 CUT_LEASES = 5.0  # for which a machine is left alone that shows itself, but not through its relay
 MUTE_SHARE, MUTE_LEAST = 0.5, 4  # of a node's machines, whose silence together is the node's
 UNHEARD_S = 2.0  # without a word from a relay, after which its machines' silence may be its own
 
 
+@dataclass(frozen=True, slots=True)
+class Order:
+    """Kills that go straight to the worker."""
+
+    machine: MachineId
+    address: str
+    session: Session
+    commands: tuple[workers.Kill, ...]
+
+
 class Machines:
     """Reads reports against the books and answers them."""
 
@@ -36,6 +53,7 @@
         self._tasks_due = floor.began
         self._relays: dict[NodeId, Steady] = {}  # when each was heard last
         self._probes: dict[MachineId, None] = {}
+        self._ordered = floor.began  # when direct commands were handed out last
         self._mute: set[NodeId] = set()  # nodes of whose machines most fell silent together
 
     # -- reports
@@ -326,6 +344,67 @@
                 out.append((machine, m.address))
         return out
 
+    def take_orders(self, now: Steady) -> list[Order]:
+        """Kills of cancelled tasks, sent to `/orders` besides going into the next answer. A worker
+        may report to a node that still acts for the leader before, and that can't be told so while
+        the store is down: the order ends the task, and shows the worker the new epoch, after which
+        it obeys nobody else. It also comes before a task that is fetching its image starts. Only
+        kills go this way: a launch that the network holds back would run late."""
+        out: list[Order] = []
+        waiting = self.f.orders
+        if not waiting:
+            return out
+        rate = ORDERS_RATE * max(0.1, self.f.settings.core_share)
+        left = int(min(1.0, now - self._ordered) * rate)
+        for machine in list(waiting):
+            if len(out) >= left:
+                break
+            m = self.f.fleet.get(machine)
+            if m is None or m.life is not Life.UP:
+                del waiting[machine]
+                continue
+            if not m.address or now - m.ordered < ORDER_S:
+                continue
+            del waiting[machine]
+            kills = tuple(
+                workers.Kill(p.key, p.attempt, 0.0)
+                for p in m.placed.values()
+                if p.stopping and p.job.cancelled and p.phase is not Phase.ENDED
+            )
+            if kills:
+                m.ordered = now
+                session = max(m.session, m.order.session, Session(1))
+                out.append(Order(m.id, m.address, session, kills[: workers.MAX_COMMANDS]))
+        if out:
+            self._ordered = now
+        return out
+
+    def ordered(self, r: workers.Report, executed: bool, sent: Steady, now: Steady) -> None:
+        """The worker's report after a direct command, or instead of it (another session)."""
+        f = self.f
+        m = f.fleet.get(r.machine)
+        if m is None or m.life is not Life.UP:
+            return
+        m.shown = now
+        rose = r.order.session > max(m.session, m.order.session, Session(1))
+        m.session = max(m.session, r.order.session)
+        if not executed:
+            if rose:
+                # It was meant for an earlier session; once more for this one, at once.
+                m.ordered = Steady(-1e9)
+                f.orders[m.id] = None
+            return
+        if r.epoch != f.epoch or r.order <= m.order:
+            return
+        there = {(t.key, t.attempt) for t in r.tasks if t.state != workers.EXITED}
+        for p in list(m.placed.values()):
+            if not (p.stopping and p.job.cancelled) or p.phase is Phase.ENDED:
+                continue
+            if sent - p.stop_since >= LAUNCH_LATE_S and (p.key, p.attempt) not in there:
+                # It has obeyed under this epoch, so nothing that an earlier leader sent can start
+                # it any more, and what this one sent has run or was dropped.
+                f.void(p, now)
+
     def stood_still(self, seconds: float) -> None:
         """Whatever was due in that time is judged as late as if it had not been: what has waited
         is read first, and everyone has time to report anew."""
@@ -422,6 +501,8 @@
             if p.stopping:
                 if p.phase is not Phase.ENDED:
                     f.want(m)
+                    if p.job.cancelled and now - p.stop_since > ORDER_AFTER * f.settings.report_s:
+                        f.orders[m.id] = None
                 if p.job.cancelled and now - p.stop_since > kill_patience:
                     log.info("kill overdue machine=%s task=%s", m.id, p.key)
                     f.doom(m, now)
--- a/src/eldercart/core/relay.py
+++ b/src/eldercart/core/relay.py
@@ -7,16 +7,48 @@
 leader takes tells what became of them.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Any
 
 from eldercart.units import Epoch, MachineId, NodeId, ReportOrder, Steady
 
+SLACK_S = 1.0  # for answers under way when a leader stops granting
+SUPERSEDED_S = 1.0  # for which a grant outlives the word of a higher epoch
 FORGET_S = 90.0  # after which a machine that reports elsewhere, or nowhere, is forgotten
 BOUNCE_S = 8.0  # a worker that was sent on and is back within this is kept
 SPARE_ROOM = 1.25  # times the fair share of workers before new ones are sent on
 
 
+def spare_s(cancel_s: float, lease_s: float, grant_s: float, drift_margin: float) -> float:
+    """For how long after the end of its hold a leader may go on granting although somebody else may
+    have been elected, whom it can't hear.
+
+    That other leader may have confirmed a cancellation to a user as soon as this one's hold had
+    ended. Its tasks must be gone `cancel_s` later even if they are on a machine whose worker is
+    answered under this one's epoch all the time, and the store can't tell anybody. From the last
+    contact this node answers for a grant, a relay that asked at the end of that for another one,
+    and the worker kills its tasks a lease after the report that was answered last."""
+    left = cancel_s * (1.0 - drift_margin) - lease_s * (1.0 + drift_margin)
+    return left - 2.0 * grant_s - SLACK_S
+
+
+def contact(
+    hold_seen: Steady, hold_until: Steady, heard: Collection[Steady], spare: float, now: Steady
+) -> Steady:
+    """From when a leader's own grant counts, which those of its relays hang on: the latest time at
+    which it was sure that no other node led, or at which that does no harm yet. `heard`: for each
+    other node, when the greeting was sent that it answered last, knowing of no higher epoch.
+
+    In an outage of the store alone every node is heard, and a node that was elected before would
+    say so: leases live for as long as it lasts. A node that is not heard may be the new leader:
+    then to hear the rest extends the grant by `spare` at the most."""
+    if not heard:
+        return now
+    bounded = Steady(min(max(heard), hold_until + max(0.0, spare)))
+    return max(hold_seen, min(heard), bounded)
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """Answered here: the epoch, and no commands."""
@@ -59,6 +91,7 @@
     def __init__(self, label: NodeId, grant_s: float, drift_margin: float) -> None:
         self.label = label
         self.epoch = Epoch(0)
+        self._superseded = Epoch(0)  # the highest epoch that a peer has told of
         self.leader: NodeId | None = None
         self._grant_s = grant_s * (1.0 - drift_margin)
         self._until = Steady(-1e9)
@@ -77,7 +110,8 @@
         most: int | None = None, spare: NodeId | None = None,
     ) -> None:  # fmt: skip
         """The leader of `epoch` lets this node answer for it; counted from before it was asked."""
-        if epoch < self.epoch:
+        if epoch < max(self.epoch, self._superseded):
+            # Its leader has not heard yet of the one after it.
             return
         if epoch > self.epoch:
             # Another leader knows nothing of what the last one took.
@@ -93,9 +127,16 @@
     def current(self, epoch: Epoch, seen: Steady) -> None:
         """The state service shows that `epoch` still leads: what the leader took holds on. An
         empty answer starts and stops nothing, so it needs no more than that."""
-        if epoch == self.epoch:
+        if epoch == self.epoch >= self._superseded:
             self._until = Steady(max(self._until, seen + self._grant_s))
 
+    def superseded(self, epoch: Epoch, now: Steady) -> None:
+        """A peer knows a higher epoch. Its leader may confirm cancellations from now on, so this
+        grant ends; the moment is for the grant of the new one, which is asked for at once."""
+        if epoch > max(self.epoch, self._superseded):
+            self._superseded = epoch
+            self._until = Steady(min(self._until, now + SUPERSEDED_S))
+
     def revoke(self) -> None:
         self._until = Steady(-1e9)
 
--- a/src/eldercart/election/__init__.py
+++ b/src/eldercart/election/__init__.py
@@ -76,6 +76,16 @@
         """Whether no other node can be leader now. Counted from before the renewal was sent."""
         return self.role is Role.LEADER and now < self._deadline
 
+    @property
+    def hold_until(self) -> Steady:
+        """Until when no other node can have been elected."""
+        return self._deadline
+
+    @property
+    def hold_seen(self) -> Steady:
+        """When the renewal was sent that the store confirmed last."""
+        return Steady(self._deadline - self._usable)
+
     def may_order(self, now: Steady, refused_at: Steady) -> bool:
         """Whether the cloud may be asked for machines or deletions. Nothing guards those calls as
         the leader key guards a write, so a leader that slept past its hold must not carry out what
--- a/src/eldercart/net/client.py
+++ b/src/eldercart/net/client.py
@@ -42,19 +42,20 @@
         self._most = most
         self._open = 0
 
-    def request(self, address: str, path: str, answer: Callable[[bytes], None]) -> None:
-        """`answer(body)` for a 200 only."""
+    def request(self, address: str, path: str, body: bytes | None, answer: Answer) -> None:
+        """`answer(status, body)` if there is one."""
         if self._open >= self._most:
             return  # hung machines must not eat the sockets; they will report by themselves
         self._open += 1
 
         def over(status: int | None, data: bytes) -> None:
             self._open -= 1
-            if status == 200:
-                answer(data)
+            if status is not None:
+                answer(status, data)
 
         uri = f"http://{address}{path}".encode()
-        _send(self._agent, b"GET", uri, None, 2.0, over, {b"Connection": [b"close"]})
+        method = b"GET" if body is None else b"POST"
+        _send(self._agent, method, uri, body, 2.0, over, {b"Connection": [b"close"]})
 
 
 def _send(
--- a/src/eldercart/net/leading.py
+++ b/src/eldercart/net/leading.py
@@ -14,6 +14,7 @@
     GetCatalog,
     JobStatus,
     ListPage,
+    Order,
     Outcome,
     PendingTxn,
     Rent,
@@ -239,6 +240,8 @@
                 node.store.txn(memo, lambda status, revision, failed: None)
         for machine, address in c.take_probes():
             self._probe(c, machine, address)
+        for order in c.take_orders(now):
+            self._order(c, order)
         if c.cloud.catalog_changed:
             self._store_types(c)
         orders = node.election.may_order(now, node.store.refused_at)
@@ -257,10 +260,35 @@
     def _probe(self, c: Controller, machine: MachineId, address: str) -> None:
         """`/show` tells whether a machine lives that nothing is heard of. What it lists is not
         read: it may cross the response to a report and lack what that response launches."""
+
+        def shown(status: int, report: workers.Report) -> None:
+            if status == 200:
+                c.shown(machine, self.node.clock())
+
+        self._ask_worker(machine, address, "/show", None, shown)
+
+    def _order(self, c: Controller, order: Order) -> None:
+        sent = self.node.clock()
+
+        def told(status: int, report: workers.Report) -> None:
+            if report.epoch > c.epoch:
+                self.node.saw_epoch(report.epoch, "a worker has seen a higher epoch")
+            elif status in (200, 409):
+                c.ordered(report, status == 200, sent, self.node.clock())
+                self.pump_soon()
+
+        body = workers.order_body(c.epoch, order.session, order.commands)
+        self._ask_worker(order.machine, order.address, "/orders", body, told)
+
+    def _ask_worker(
+        self, machine: MachineId, address: str, path: str, body: bytes | None,
+        told: Callable[[int, workers.Report], None],
+    ) -> None:  # fmt: skip
+        """`told(status, report)` if that machine answers with its report."""
         life = self._life
 
-        def shown(data: bytes) -> None:
-            if life != self._life:
+        def got(status: int | None, data: bytes) -> None:
+            if life != self._life or status not in (200, 409):
                 return
             try:
                 report = workers.parse_report(load_object(data))
@@ -268,9 +296,9 @@
                 log.error("report malformed address=%s: %s", address, err)
                 return
             if report.machine == machine:
-                c.shown(machine, self.node.clock())
+                told(status, report)
 
-        self._workers.request(address, "/show", shown)
+        self._workers.request(address, path, body, got)
 
     def _write(self, c: Controller, pending: PendingTxn, now: Steady) -> None:
         store = self.node.store
--- a/src/eldercart/net/links.py
+++ b/src/eldercart/net/links.py
@@ -83,6 +83,7 @@
         self._heard = Steady(-1e9)
         self.greeted = Steady(-1e9)  # when the peer was greeted last
         self.asked: dict[int, Steady] = {}  # greetings under way
+        self.answered = Steady(-1e9)  # when the greeting was sent that was answered last
 
     @property
     def up(self) -> bool:
--- a/src/eldercart/net/relaying.py
+++ b/src/eldercart/net/relaying.py
@@ -6,7 +6,16 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from eldercart.core.relay import Answer, Forward, Redirect, Relay, Share, shares
+from eldercart.core.relay import (
+    Answer,
+    Forward,
+    Redirect,
+    Relay,
+    Share,
+    contact,
+    shares,
+    spare_s,
+)
 from eldercart.net.links import Channel, Exchange, Link
 from eldercart.net.server import JsonRequest
 from eldercart.net.soon import Soon
@@ -25,6 +34,8 @@
 CANCEL_S = 2.0
 # The leader is told whom this node answered; of the others it is enough to know that they live.
 GREET_LEADER_S, GREET_S = 0.5, 2.0
+# In an outage of the store a leader's grant hangs on every node's answer to its greeting.
+GREET_OUTAGE_S = 0.7
 # A peer answers greetings; without a word for this long, the connection is dead.
 SILENT_LEAST_S, SILENT_GREETINGS = 2.5, 2.5
 
@@ -54,7 +65,15 @@
     def __init__(self, node: "Node") -> None:
         self.node = node
         s, t = node.settings, node.tuning
-        self.relay = Relay(s.label, t.grant_share * s.lease_s, t.drift_margin)
+        grant_s = t.grant_share * s.lease_s
+        self.relay = Relay(s.label, grant_s, t.drift_margin)
+        self.spare_s = spare_s(s.cancel_s, s.lease_s, grant_s, t.drift_margin)
+        if self.spare_s <= 0:
+            log.warning(
+                "cancel_s=%g leaves nothing beyond lease_s=%g and two grants of %g s: "
+                "in an outage leases end as soon as one node is not heard",
+                s.cancel_s, s.lease_s, grant_s,
+            )  # fmt: skip
         self.links = {
             m.label: Link(m.label, m.endpoint, self._told, self._down, node.clock)
             for m in s.members
@@ -81,15 +100,21 @@
         leader = node.election.leader
         for link in self.links.values():
             every = GREET_LEADER_S if link.label == leader else GREET_S
+            if node.leading.acts and node.store.failing_since is not None:
+                every = GREET_OUTAGE_S
             link.check(max(SILENT_LEAST_S, SILENT_GREETINGS * every), now)
             if link.up and now - link.greeted >= every:
                 self._greet(link, link.label == leader, now)
         if node.leading.acts:
-            contact = now if not self.links else max(node.store.last_ok, self.peer_heard)
+            # Counted from the asking: what a peer said may have waited here while this node slept.
+            since = contact(
+                node.election.hold_seen, node.election.hold_until,
+                [link.answered for link in self.links.values()], self.spare_s, now,
+            )  # fmt: skip
             self._share_out(now)
             mine = self._shares.get(node.settings.label, Share(node.settings.sockets, None))
             self.relay.granted(
-                node.election.epoch, node.settings.label, contact, now, mine.most, mine.spare
+                node.election.epoch, node.settings.label, since, now, mine.most, mine.spare
             )
             node.leading.heard(node.settings.label, self.relay.take_heard(now), now)
         elif node.election.epoch == self.relay.epoch and node.store.failing_since is None:
@@ -309,10 +334,14 @@
         if store_ok:
             self.peer_served = now
         self.node.saw_epoch(epoch, "a peer knows a higher epoch")
+        if epoch > self.relay.epoch:
+            self.relay.superseded(epoch, now)
 
     def _greeted(self, link: Link, g: peers.Greeted, now: Steady) -> None:
         asked = link.asked.pop(g.number, None)
         self._heard_peer(g.epoch, g.store_ok, now)
+        if asked is not None and g.ready and g.epoch <= self.node.election.epoch:
+            link.answered = max(link.answered, asked)
         if g.lent:
             self.node.store.lent(g.lent, now)
         if g.leads and asked is not None:
@@ -354,17 +383,23 @@
         node = self.node
         channel.peer = g.sender
         self._channels[g.sender] = channel
+        if g.epoch > self.relay.epoch and g.sender in self.links:
+            self.links[g.sender].greeted = Steady(-1e9)  # it may lead: ask it for a grant at once
         self._heard_peer(g.epoch, g.store_ok, now)
         self.peer_counts[g.sender] = (g.machines, now)
         acts = node.leading.acts
         if acts:
             node.leading.heard(g.sender, g.heard, now)
+        # A leader that may not answer workers itself lets nobody do it for it: what its relays are
+        # granted would otherwise outlive its own contact for as long as they reach it.
+        grants = acts and self.relay.holds_grant(now)
         share = self._shares.get(g.sender, Share(node.settings.sockets, None))
         channel.send(
             peers.greeted(
                 peers.Greeted(
-                    g.number, node.election.epoch, acts, node.store.failing_since is None,
+                    g.number, node.election.epoch, grants, node.store.failing_since is None,
                     share.most, share.spare, node.store.lend(g.short, now) if acts else 0,
+                    node.electing.ready,
                 )
             )
         )  # fmt: skip
--- a/src/eldercart/wire/peers.py
+++ b/src/eldercart/wire/peers.py
@@ -50,6 +50,9 @@
     most: int  # workers the asker should have at most
     spare: NodeId | None  # where to send those beyond it
     lent: int  # of the leader's tokens for the state service, for submissions
+    # Whether it has read the leader key since its start. One that was elected, confirmed a
+    # cancellation and is back within a second knows nothing of it and vouches for nothing.
+    ready: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +107,7 @@
 def greeted(g: Greeted) -> bytes:
     return orjson.dumps(
         {"k": GREETED, "n": g.number, "epoch": g.epoch, "leads": g.leads, "store": g.store_ok,
-         "most": g.most, "spare": g.spare, "lent": g.lent}
+         "most": g.most, "spare": g.spare, "lent": g.lent, "ready": g.ready}
     )  # fmt: skip
 
 
@@ -114,6 +117,7 @@
         count(frame, "n"), Epoch(count(frame, "epoch")), frame.get("leads") is True,
         frame.get("store") is True, count(frame, "most"),
         NodeId(spare) if isinstance(spare, str) else None, count(frame, "lent"),
+        frame.get("ready") is not False,  # 0.3 does not say
     )  # fmt: skip
 
 
--- a/src/eldercart/wire/workers.py
+++ b/src/eldercart/wire/workers.py
@@ -1,5 +1,6 @@
 """What workers report and what they are told."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
@@ -114,5 +115,11 @@
     return calls_body(epoch, command_objects(commands))
 
 
+def order_body(epoch: Epoch, session: Session, commands: Iterable[Command]) -> bytes:
+    """A direct command."""
+    calls = [command_object(c) for c in commands]
+    return orjson.dumps({"whip": epoch, "stint": session, "calls": calls})
+
+
 def redirect_body(leader: NodeId | None) -> bytes:
     return orjson.dumps({"droverBoss": leader} if leader else {})
--- a/tests/relayworld.py
+++ b/tests/relayworld.py
@@ -46,8 +46,10 @@
         self.shared_out = True  # workers are sent on to other nodes by their numbers
         self.mute: set[int] = set()  # nodes that no worker reaches
         self.asleep: int | None = None  # a node that does not run at all
-        self.deaf: set[str] = set()  # machines that no answer reaches
         self.copies = 0
+        # Machines answered all the time by a node that still acts for an earlier leader.
+        self.stale: set[str] = set()
+        self.stale_epoch = 0
         super().__init__(seed, **faults)
         self.relays = [self.new_relay(i) for i in range(nodes)]
 
@@ -166,6 +168,12 @@
         if at == self.asleep or at in self.mute:
             return
         relay, now = self.relays[at], Steady(self.now)
+        if w.id in self.stale:
+            if f.epoch > self.stale_epoch:
+                self.stale.discard(w.id)  # the worker's own word deposes that leader
+            else:
+                self.answer(w, f, workers.calls_body(Epoch(self.stale_epoch), []))
+                return
         reachable = at == self.leader or (at not in self.cut and self.leader not in self.cut)
         decision = relay.report(
             MachineId(w.id), f.order, Epoch(f.epoch), f.notice, f.tasks, now, reachable
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -144,6 +144,16 @@
                 elif c["call"] == "clear" and task.state == "ended":
                     del self.tasks[key]
 
+    def orders(self, body: bytes) -> tuple[int, dict[str, Any]]:
+        """A direct command: it renews no lease."""
+        obj = orjson.loads(body)
+        if obj["whip"] < self.epoch or obj["stint"] != self.session:
+            return 409, self.report()
+        assert all(c["call"] == "kill" for c in obj["calls"]), "would run late"
+        answered = self.answered
+        self.obey(body, answered, self.session, {})
+        return 200, self.report()
+
     def step(self, now: float, dt: float, lease_s: float) -> None:
         if now - self.answered > lease_s:
             self.tasks.clear()
@@ -199,7 +209,7 @@
     def list(self, now: float) -> dict[str, Any]:
         return {
             "wagons": [
-                {"nameId": m.id, "address": "", "breed": m.type["sku"], "yard": m.zone,
+                {"nameId": m.id, "address": "10.1.0.1:9000", "breed": m.type["sku"], "yard": m.zone,
                  "loaners": m.spot, "standing": "running" if now >= m.boots_at else "starting",
                  "ageS": 1.0}
                 for m in self.machines.values()
--- a/tests/world.py
+++ b/tests/world.py
@@ -61,6 +61,8 @@
         self.reports_due: dict[str, float] = {}
         self.started: set[tuple[str, int, str]] = set()
         self.outage_until = -1.0
+        self.deaf: set[str] = set()  # machines that no answer or command reaches
+        self.orders = 0  # direct commands that arrived
         self.life = ONLY_LIFE
         self.controller: Controller | None = None
         self.elect()
@@ -125,10 +127,22 @@
                 c.plan(now)
             self.serve_store(c, now)
             self.serve_cloud(c, now)
+            self.serve_orders(c, now)
         for w in list(self.cloud.machines.values()):
             self.serve_worker(c, w, now, dt)
         self.check()
 
+    def serve_orders(self, c: Controller, now: Steady) -> None:
+        """Commands that go straight to the workers."""
+        for order in c.take_orders(now):
+            w = self.cloud.machines.get(order.machine)
+            down = w is None or self.now < max(w.boots_at, w.hangs_until) or w.id in self.deaf
+            if w is None or down or self.chance("order_lost"):
+                continue
+            status, report = w.orders(workers.order_body(c.epoch, order.session, order.commands))
+            self.orders += 1
+            c.ordered(workers.parse_report(report), status == 200, now, now)
+
     def leader_runs(self) -> bool:
         return True
 
