Submissions may name jobs that they await; the record holds their list, or where it is

A job without dependencies is written as before, so the version in production reads it. A list too long for a quarter of the value limit is cut into parts under needs/, and a record whose parts were not read is never taken for one without dependencies.

--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -4,8 +4,8 @@
 the done tasks as ranges, the placements, and the highest attempt used, from which attempts grow.
 """
 
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 from typing import Any
 
@@ -18,9 +18,20 @@
     task_key,
 )
 from eldercart.wire import Malformed
-from eldercart.wire.users import CANCELLED, DONE, JobSpec, spec_from_record, spec_to_record
+from eldercart.wire.state import Item
+from eldercart.wire.users import (
+    CANCELLED,
+    DONE,
+    JobSpec,
+    ListReference,
+    reference_in,
+    spec_from_record,
+    spec_to_record,
+    with_dependencies,
+)
 
 JOB, END, PLACE, GONE = "job/", "end/", "place/", "gone/"
+NEEDS = "needs/"  # lists of dependencies that are too long for their job's record
 ENTRY_BYTES = 48  # the most that one placement takes in a record
 
 
@@ -281,8 +292,10 @@
             job.again.append(p.index)
 
 
-def job_record(spec: JobSpec, size: int, at: float) -> dict[str, Any]:
-    return {"s": spec_to_record(spec), "n": size, "t": at}
+def job_record(
+    spec: JobSpec, size: int, at: float, elsewhere: ListReference | None = None
+) -> dict[str, Any]:
+    return {"s": spec_to_record(spec, elsewhere), "n": size, "t": at}
 
 
 def parse_job_record(job: JobId, value: Any) -> tuple[JobSpec, int, float]:
@@ -291,6 +304,51 @@
     return spec_from_record(job, value.get("s")), int(value["n"]), float(value["t"])
 
 
+def list_reference(value: Any) -> ListReference | None:
+    """Where a job record's dependencies must be read before the record can be."""
+    return reference_in(value.get("s")) if isinstance(value, dict) else None
+
+
+def needs_prefix(job: JobId, reference: ListReference) -> str:
+    return f"{NEEDS}{job}/{reference.nonce}/"
+
+
+def needs_parts(dependencies: tuple[JobId, ...], value_bytes: int) -> list[list[JobId]]:
+    """The lists to write before the record of a job that has these; none if its record takes
+    them: a quarter of the value limit is left to them there."""
+    sizes = [len(job) + 3 for job in dependencies]  # quotes and a comma
+    if sum(sizes) + 2 <= value_bytes // 4:
+        return []
+    most = int(value_bytes * 0.8)
+    parts: list[list[JobId]] = []
+    room = 0
+    for job, size in zip(dependencies, sizes, strict=True):
+        if not parts or size > room:
+            parts.append([])
+            room = most
+        parts[-1].append(job)
+        room -= size
+    return parts
+
+
+def resolve(job: JobId, item: Item, lists: Iterable[Item]) -> Item | None:
+    """The job's record as if its dependencies were in it, from a read of the lists; None as long
+    as one of them is missing: it is not known then what the job awaits."""
+    reference = list_reference(item.value)
+    if reference is None:
+        return item
+    prefix = needs_prefix(job, reference)
+    values = {found.key: found.value for found in lists}
+    dependencies: list[JobId] = []
+    for number in range(reference.parts):
+        part = values.get(f"{prefix}{number}")
+        if not isinstance(part, list):
+            return None
+        dependencies += part
+    record = with_dependencies(item.value["s"], tuple(dependencies))
+    return replace(item, value={**item.value, "s": record})
+
+
 def end_of(value: Any) -> str:
     """The final state that an end record tells."""
     cancelled = isinstance(value, dict) and value.get("e") == CANCELLED
--- a/src/eldercart/wire/users.py
+++ b/src/eldercart/wire/users.py
@@ -10,6 +10,8 @@
 from eldercart.wire.checks import Malformed, amount, count, flag, text
 
 MAX_TASKS = 100_000
+MAX_PARTS = 100_000  # of a list of dependencies; a submission's 64 KiB fill far fewer
+MAX_TOLD = 20  # jobs that an answer names as not done yet
 SHAPES = ("sweep",)
 PRIORITIES = {"prod": 3, "urgent": 2, "standard": 1, "idle": 0}
 JOB_ID = re.compile(r"wk-[A-Za-z0-9_.:-]{1,80}\Z")
@@ -38,6 +40,15 @@
     checkpoint_s: float
     save_s: float
     deadline_s: float | None
+    dependencies: tuple[JobId, ...] = ()  # jobs that must be done before a task of it starts
+
+
+@dataclass(frozen=True, slots=True)
+class ListReference:
+    """Where the dependencies are that are too many for their job's record."""
+
+    nonce: str  # of the one acceptance that wrote them
+    parts: int
 
 
 def valid_job_id(value: str) -> bool:
@@ -51,6 +62,20 @@
     return JobId(value)
 
 
+def _dependencies_of(obj: dict[str, Any]) -> tuple[JobId, ...]:
+    """Each once, in the order in which they are named."""
+    value = obj.get("awaits")
+    if value is None:
+        return ()
+    if not isinstance(value, list) or not _job_ids(value):
+        raise Malformed("awaits")
+    return tuple(dict.fromkeys(JobId(job) for job in value))
+
+
+def _job_ids(value: list[Any]) -> bool:
+    return all(isinstance(job, str) and valid_job_id(job) for job in value)
+
+
 def parse_submission(obj: dict[str, Any]) -> JobSpec:
     """Checks every field; the first bad one is named. Unknown fields are skipped."""
     job = job_id_of(obj)
@@ -90,6 +115,7 @@
         checkpoint_s=amount(obj, "waypointS"),
         save_s=amount(obj, "stowS"),
         deadline_s=None if obj.get("dueS") is None else amount(obj, "dueS"),
+        dependencies=_dependencies_of(obj),
     )
 
 
@@ -100,26 +126,73 @@
 )  # fmt: skip
 
 
-def spec_to_record(spec: JobSpec) -> list[Any]:
-    return [getattr(spec, field) for field in _STORED]
+def spec_to_record(spec: JobSpec, elsewhere: ListReference | None = None) -> list[Any]:
+    """A job without dependencies is written as ever: the version before this field reads it.
 
+    With them, one more element follows: their list, or where it is. That version calls such a
+    record unreadable: it knows the job, calls it pending and starts nothing of it, which is what
+    it should do, since it could not tell when the job may start.
+    """
+    record = [getattr(spec, field) for field in _STORED]
+    if elsewhere is not None:
+        record.append({"set": elsewhere.nonce, "parts": elsewhere.parts})
+    elif spec.dependencies:
+        record.append(list(spec.dependencies))
+    return record
 
-def spec_from_record(job: JobId, record: Any) -> JobSpec:
-    if not isinstance(record, list) or len(record) != len(_STORED):
+
+def reference_in(record: Any) -> ListReference | None:
+    """Where the dependencies must be read before the record can be; None: they are in it."""
+    if not isinstance(record, list) or len(record) != len(_STORED) + 1:
+        return None
+    last = record[-1]
+    if not isinstance(last, dict):
+        return None
+    nonce = text(last, "set")
+    if "/" in nonce:
+        raise Malformed("set")
+    return ListReference(nonce, count(last, "parts", 1, MAX_PARTS))
+
+
+def with_dependencies(record: list[Any], dependencies: tuple[JobId, ...]) -> list[Any]:
+    """The record as if its list had been in it."""
+    return [*record[: len(_STORED)], list(dependencies)]
+
+
+def dependencies_from_record(record: Any) -> tuple[JobId, ...]:
+    """Malformed if they are elsewhere: a list that was not read is never taken for none."""
+    if not isinstance(record, list) or not len(_STORED) <= len(record) <= len(_STORED) + 1:
         raise Malformed("job record")
-    values = dict(zip(_STORED, record, strict=True))
+    if len(record) == len(_STORED):
+        return ()
+    last = record[-1]
+    if not isinstance(last, list) or not last or not _job_ids(last):
+        raise Malformed("dependencies")
+    return tuple(JobId(job) for job in last)
+
+
+def spec_from_record(job: JobId, record: Any) -> JobSpec:
+    dependencies = dependencies_from_record(record)
+    values = dict(zip(_STORED, record[: len(_STORED)], strict=True))
     if values["types"] is not None:
         values["types"] = tuple(values["types"])
-    return JobSpec(id=job, **values)
+    return JobSpec(id=job, **values, dependencies=dependencies)
 
 
 def state_body(
-    job: JobId, state: str, done: int | None = None, running: int | None = None
+    job: JobId,
+    state: str,
+    done: int | None = None,
+    running: int | None = None,
+    waiting: tuple[str, ...] = (),
 ) -> bytes:
+    """`waiting`: some of the jobs that it awaits and that are not done."""
     body: dict[str, Any] = {"nameId": job, "standing": state}
     if done is not None:
         body["done"] = done
         body["running"] = running or 0
+    if waiting:
+        body["awaits"] = waiting[:MAX_TOLD]
     return orjson.dumps(body)
 
 
