Acceptance looks up what a job awaits; look-ups tell what a cancelled ancestor means

Every job that a submission names must have been accepted: known facts first, then the leader's book, then one transaction without writes for many names, whose guards read both keys of each at once. 422 follows only from a transaction that found none of them; without tokens, answer or time it is 503, and the next try goes on from what was found out. Long lists are written in parts before the record.

The leader tells of a cancellation for all that await the job before their own ends are durable. A look-up that called such a job pending would go back, so it looks upward for a durable cancellation, in turns of reads instead of by recursion, and says 503 if it can't be told.

A leader learns a record that refers to a list only with that list. The command line names what a job awaits and shows why it waits.

--- a/src/eldercart/cli/__init__.py
+++ b/src/eldercart/cli/__init__.py
@@ -47,6 +47,13 @@
 
     submit = sub.add_parser("submit", help="submit a job")
     client_options(submit)
+    submit.add_argument(
+        "--awaits",
+        action="append",
+        default=[],
+        metavar="JOB",
+        help="a job that must be done before this one starts, beside those in the file; repeatable",
+    )
     submit.add_argument("file", help="the job as JSON; - for standard input")
     for name, text in (("status", "ask for a job's state"), ("cancel", "cancel a job")):
         q = sub.add_parser(name, help=text)
--- a/src/eldercart/cli/client.py
+++ b/src/eldercart/cli/client.py
@@ -43,6 +43,8 @@
     if args.command == "submit":
         raw = sys.stdin.buffer.read() if args.file == "-" else Path(args.file).read_bytes()
         try:
+            if args.awaits:
+                raw = _with_awaits(raw, args.awaits)
             spec = parse_submission(load_answer(raw))
         except Malformed as err:
             print(f"eldercart: the job is malformed: {err}", file=sys.stderr)
@@ -61,6 +63,25 @@
     return _show(args.json, job, status, data)
 
 
+def _with_awaits(raw: bytes, jobs: list[str]) -> bytes:
+    submission = load_answer(raw)
+    named = submission.get("awaits")
+    if named is not None and not isinstance(named, list):
+        raise Malformed("awaits")
+    return orjson.dumps({**submission, "awaits": [*(named or []), *jobs]})
+
+
+def _reason(answer: dict[str, Any]) -> str:
+    """Why it waits, if the answer tells: jobs, or a text."""
+    for field in ("awaits", "waiting"):
+        why = answer.get(field)
+        if isinstance(why, list) and why:
+            return ", waits for " + " ".join(str(job) for job in why)
+        if isinstance(why, str) and why:
+            return f", waits: {why}"
+    return ""
+
+
 def _show(as_json: bool, job: str, status: int, data: bytes) -> int:
     answer: dict[str, Any] = {}
     with contextlib.suppress(Malformed):
@@ -71,7 +92,7 @@
         text = f"{job}: {answer.get('standing')}"
         if "done" in answer:
             text += f", {answer['done']} done, {answer.get('running')} running"
-        print(text)
+        print(text + _reason(answer))
     else:
         print(f"{job}: {answer.get('error') or 'no answer'} ({status})", file=sys.stderr)
     if status in (200, 201):
--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -65,6 +65,7 @@
     state: str
     done: int
     running: int
+    waiting: tuple[JobId, ...] = ()  # some of the jobs that it awaits and that are not done
 
 
 class Controller:
--- a/src/eldercart/net/front.py
+++ b/src/eldercart/net/front.py
@@ -8,13 +8,14 @@
 
 from eldercart.core import placement as rules
 from eldercart.core.jobs import END, JOB, chunk_size, end_of, job_record
+from eldercart.net.dependencies import WRITE_S, Dependencies, Known
 from eldercart.net.server import JsonRequest
 from eldercart.net.store import FOR_ACCEPTING, FOR_POLLS
-from eldercart.units import ABSENT, JobId, Revision, WallTime
+from eldercart.units import ABSENT, JobId, Revision, Steady, WallTime
 from eldercart.wire import Malformed, peers, users
 from eldercart.wire.checks import load_object
 from eldercart.wire.state import Item, Put, Txn
-from eldercart.wire.users import JobSpec
+from eldercart.wire.users import JobSpec, ListReference
 
 if TYPE_CHECKING:
     from eldercart.net.node import Node
@@ -30,6 +31,7 @@
     def __init__(self, node: "Node") -> None:
         self.node = node
         self._finals: OrderedDict[JobId, str] = OrderedDict()
+        self.dependencies = Dependencies(node)
         self._busy = 0
 
     def route(self, request: JsonRequest) -> None:
@@ -119,19 +121,53 @@
             else:
                 why = rules.never_runs(spec, node.types, node.settings.teams)
                 refusal = None if why is None else (422, why)
+                if refusal is None and job in spec.dependencies:
+                    refusal = (422, "awaits itself")
         if refusal is not None or spec is None:
-            # A repeat of an accepted job gets its state, whatever the body says now.
-            status, message = refusal or (400, "malformed")
-            self.look_up(
-                job,
-                found=lambda state: request.reply(200, users.state_body(job, state)),
-                absent=lambda: request.reply(status, users.error_body(message)),
-                failed=lambda: request.reply(503, users.error_body("cannot tell"), RETRY_S),
-            )
-            return
-        self._accept(request, spec)
+            self._refuse(request, job, *(refusal or (400, "malformed")))
+        elif spec.dependencies:
+            self._check_dependencies(request, spec)
+        else:
+            self._accept(request, spec)
+
+    def _refuse(self, request: JsonRequest, job: JobId, status: int, message: str) -> None:
+        """A repeat of an accepted job gets its state, whatever the body says now."""
+        self.look_up(
+            job,
+            found=lambda state: request.reply(200, users.state_body(job, state)),
+            absent=lambda: request.reply(status, users.error_body(message)),
+            failed=lambda: request.reply(503, users.error_body("cannot tell"), RETRY_S),
+        )
 
-    def _accept(self, request: JsonRequest, spec: JobSpec) -> None:
+    def _check_dependencies(self, request: JsonRequest, spec: JobSpec) -> None:
+        """All that it awaits must have been accepted. What is found out is kept, so that the next
+        try is short if this one can't be finished in the time that its user waits."""
+        node = self.node
+        until = Steady(node.clock() + WRITE_S)
+
+        def known(what: Known) -> None:
+            if what is Known.NOT_ALL:
+                self._refuse(request, spec.id, 422, "awaits a job that was never accepted")
+            elif what is Known.UNTOLD or node.clock() > until:
+                # Without tokens here, its next try may find another node that has some.
+                close = node.store.requests.available(node.clock(), FOR_ACCEPTING) < 1
+                body = users.error_body("cannot tell about the jobs that it awaits")
+                request.reply(503, body, RETRY_S, close=close)
+            else:
+                self.dependencies.write_list(spec, until, listed)
+
+        def listed(where: ListReference | None, written: bool) -> None:
+            if written:
+                self._accept(request, spec, where)
+            else:
+                # The next try goes on with what is written if it comes here.
+                request.reply(503, users.error_body("cannot store it now"), RETRY_S)
+
+        self.dependencies.check(spec.dependencies, known)
+
+    def _accept(
+        self, request: JsonRequest, spec: JobSpec, where: ListReference | None = None
+    ) -> None:
         node = self.node
         now = node.clock()
         store = node.store
@@ -150,18 +186,21 @@
         job = spec.id
         size = chunk_size(node.settings.value_bytes)
         at = WallTime(time.time())
-        record = job_record(spec, size, at)
+        record = job_record(spec, size, at, where)
+        self.dependencies.forget_list(job)
         txn = Txn({JOB + job: ABSENT, END + job: ABSENT}, [Put(JOB + job, record)])
 
         def done(status: int | None, revision: Revision, failed: tuple[str, ...]) -> None:
             if status == 200:
+                self.dependencies.accepted(job)
                 request.reply(201, users.state_body(job, users.PENDING))
                 c = node.leading.controller
                 if c is not None:
                     c.add_job(spec, size, at, node.clock())
                     node.leading.pump_soon()
-            elif status == 409 and END + job not in failed:
+            elif status == 409 and END + job not in failed and not awaits():
                 # The job is there and has not ended, as of this very transaction.
+                self.dependencies.accepted(job)
                 request.reply(200, users.state_body(job, users.PENDING))
             elif status == 409 or status is None:
                 self.look_up(
@@ -174,6 +213,10 @@
                 log.info("submission not stored status=%s", status)
                 request.reply(503, users.error_body("cannot store it now"), RETRY_S)
 
+        def awaits() -> bool:
+            """Whether it may have been told as cancelled with another job, before its own end."""
+            return bool(spec.dependencies or self.dependencies.needs.get(job))
+
         store.txn(txn, done)
 
     def look_up(
@@ -184,30 +227,52 @@
         failed: Callable[[], Any],
     ) -> None:
         """A fresh read of the state service: first the job's record, then its end, since at the
-        end the record goes and the end appears in one transaction."""
+        end the record goes and the end appears in one transaction.
+
+        A job without an end may have been told as cancelled all the same: the leader tells it of
+        all that await a job as soon as that job's own end is durable. So those before it are
+        looked at. Their ends may be read after its own: each of these reads begins after the
+        question came, so an end that was durable when anybody was told is seen. And when a
+        cancelled one is found, this job can't be done, now or later: a job is done only after
+        all before it are, and an end never changes.
+        """
         store = self.node.store
 
         def got_job(ok: bool, item: Item | None) -> None:
             if not ok:
                 failed()
                 return
-            open_ = item is not None
             if item is not None:
+                self.dependencies.accepted(job)
                 self.node.leading.learn(item)
-            store.get(END + job, lambda ok, end: got_end(ok, end, open_))
+            store.get(END + job, lambda ok, end: got_end(ok, end, item))
 
-        def got_end(ok: bool, end: Item | None, open_: bool) -> None:
+        def got_end(ok: bool, end: Item | None, item: Item | None) -> None:
             if not ok:
                 failed()
             elif end is not None:
                 how = end_of(end.value)
                 self.final(job, how)
                 found(how)
-            elif open_:
-                found(users.PENDING)
+            elif item is not None:
+                self.dependencies.read(item, got_dependencies)
             else:
                 absent()
 
+        def got_dependencies(names: tuple[JobId, ...] | None) -> None:
+            if names is None:
+                failed()
+            elif names:
+                self.dependencies.cancelled_before(names, got_ancestors)
+            else:
+                found(users.PENDING)
+
+        def got_ancestors(cancelled: bool | None) -> None:
+            if cancelled is None:
+                failed()
+            else:
+                found(users.CANCELLED if cancelled else users.PENDING)
+
         if store.requests.available(self.node.clock(), FOR_POLLS) < 2:
             failed()
             return
@@ -232,7 +297,8 @@
             else:
                 if told.verdict in (users.DONE, users.CANCELLED):
                     self.final(job, told.verdict)
-                body = users.state_body(job, told.verdict, told.done, told.running)
+                self.dependencies.accepted(job)
+                body = users.state_body(job, told.verdict, told.done, told.running, told.waiting)
                 request.reply(200, body)
 
         how = self._finals.get(job)
--- a/src/eldercart/net/leading.py
+++ b/src/eldercart/net/leading.py
@@ -20,7 +20,15 @@
     Verdict,
 )
 from eldercart.core.controller import Delete as DeleteCall
-from eldercart.core.jobs import GONE, JOB, PLACE
+from eldercart.core.jobs import (
+    GONE,
+    JOB,
+    NEEDS,
+    PLACE,
+    list_reference,
+    needs_prefix,
+    resolve,
+)
 from eldercart.core.memory import MEMO
 from eldercart.election import LEAD_KEY, Role
 from eldercart.net.buckets import Bucket
@@ -50,6 +58,7 @@
     429: Outcome.REFUSED,
     503: Outcome.REFUSED,
 }  # any other status, or none: unknown
+LIST_AGAIN_S, LIST_LONGEST_S = 0.5, 10.0  # pauses before a list is read again
 PUMP_S = 0.02  # in which events gather before what follows from them is looked for
 
 
@@ -61,6 +70,7 @@
         self.controller: Controller | None = None
         self._life = 0  # counts leaderships: answers to an earlier one's calls are dropped
         self._waiting: dict[JobId, list[Callable[[str], None]]] = {}
+        self._resolving: set[JobId] = set()  # jobs whose list of dependencies is being read
         s = node.settings
         self._cloud = HttpClient(s.cloud, 2.0, 6)
         self._workers = WorkerClient(max(4, s.sockets // 20))
@@ -82,6 +92,7 @@
         self._life += 1
         life = self._life
         self.controller = None
+        self._resolving.clear()
         node.store.set_leader(True)
         epoch = node.election.epoch
         log.info("elected epoch=%d", epoch)
@@ -92,6 +103,9 @@
         def read() -> None:
             if life != self._life:
                 return
+            if len(parts) == len(prefixes):
+                finish()
+                return
             prefix = prefixes[len(parts)]
             node.store.range(prefix, lambda items, rev: got(prefix, items, rev))
 
@@ -104,10 +118,10 @@
             parts[prefix] = items
             if prefix == JOB:
                 since.append(revision)
-            if len(parts) < len(prefixes):
-                read()
-            else:
-                finish()
+                if any(_refers(item) for item in items):
+                    # After the records: a list is there before the record that refers to it.
+                    prefixes.append(NEEDS)
+            read()
 
         def finish() -> None:
             now = node.clock()
@@ -117,12 +131,15 @@
                 node.settings, node.tuning, epoch, dict(node.types), now, WallTime(time.time()),
                 node.life,
             )  # fmt: skip
-            c.load(parts[JOB], parts[PLACE], parts[GONE], now, parts[MEMO])
+            jobs, unresolved = _resolved(parts[JOB], parts.get(NEEDS, []))
+            c.load(jobs, parts[PLACE], parts[GONE], now, parts[MEMO])
             gc.collect()
             gc.freeze()
             self.controller = c
             self._began = now
             self._watch_jobs(life, since[0])
+            for item in unresolved:
+                self.learn(item)
             self.pump()
 
         read()
@@ -192,10 +209,46 @@
         self.node.store.watch(JOB, after, 10.0, got)
 
     def learn(self, item: Item) -> None:
+        """A record that refers to a list is learned with it. As long as the list can't be read the
+        job stays unknown here: polls look it up, and nothing of it may start."""
         c = self.controller
         job = JobId(item.key[len(JOB) :])
-        if c is not None and self.node.front.final_of(job) is None:
+        if c is None or self.node.front.final_of(job) is not None:
+            return
+        if not _refers(item):
             c.learn_job(item, self.node.clock())
+        elif job not in c.jobs and job not in self._resolving:
+            self._resolving.add(job)
+            self._resolve(self._life, job, item, LIST_AGAIN_S)
+
+    def _resolve(self, life: int, job: JobId, item: Item, pause: float) -> None:
+        """Reads the list that the record refers to, until it is there."""
+        if life != self._life:
+            return
+        c = self.controller
+        reference = list_reference(item.value)
+        if reference is None or c is None or job in c.jobs:
+            self._resolving.discard(job)
+            return
+        if self.node.front.final_of(job) is not None:
+            self._resolving.discard(job)
+            return
+
+        def got(lists: list[Item] | None, revision: Revision) -> None:
+            if life != self._life or self.controller is None:
+                return
+            whole = None if lists is None else resolve(job, item, lists)
+            if whole is None:
+                log.info("list of dependencies not read job=%s", job)
+                longer = min(LIST_LONGEST_S, 2 * pause)
+                reactor.callLater(pause, self._resolve, life, job, item, longer)
+                return
+            self._resolving.discard(job)
+            if self.node.front.final_of(job) is None:
+                self.controller.learn_job(whole, self.node.clock())
+                self.pump_soon()
+
+        self.node.store.range(needs_prefix(job, reference), got)
 
     def _reread_jobs(self, life: int) -> None:
         def got(items: list[Item] | None, revision: Revision) -> None:
@@ -411,7 +464,8 @@
             return peers.Told(number, peers.NOT_LEADER, 0, 0)
         status = c.status(job)
         if isinstance(status, JobStatus):
-            return peers.Told(number, status.state, status.done, status.running)
+            waiting = status.waiting[: users.MAX_TOLD]
+            return peers.Told(number, status.state, status.done, status.running, waiting)
         undecided = status is Verdict.UNDECIDED
         return peers.Told(number, peers.UNDECIDED if undecided else peers.UNKNOWN, 0, 0)
 
@@ -446,6 +500,30 @@
         self.pump()
 
 
+def _refers(item: Item) -> bool:
+    try:
+        return list_reference(item.value) is not None
+    except Malformed:
+        return False  # unreadable in any case; whoever reads it says so
+
+
+def _resolved(records: list[Item], lists: list[Item]) -> tuple[list[Item], list[Item]]:
+    """The job records with their lists in them, and those whose lists are not all there."""
+    of_job: dict[str, list[Item]] = {}
+    for item in lists:
+        of_job.setdefault(item.key[len(NEEDS) :].partition("/")[0], []).append(item)
+    whole: list[Item] = []
+    missing: list[Item] = []
+    for item in records:
+        job = JobId(item.key[len(JOB) :])
+        found = resolve(job, item, of_job.get(job, ())) if _refers(item) else item
+        if found is None:
+            missing.append(item)
+        else:
+            whole.append(found)
+    return whole, missing
+
+
 class _Once:
     """A waiter that answers once, by the end or by its time-out."""
 
--- a/src/eldercart/net/relaying.py
+++ b/src/eldercart/net/relaying.py
@@ -234,10 +234,11 @@
                 held = self._held.pop(number, None)
                 if held is not None:
                     self._give_up(held, now)
-        if polls:
-            ask = self._link_to(self.node.election.leader)
-            if ask is None or not ask.send(peers.polls(polls)):
-                for number, _ in polls:
+        ask = self._link_to(self.node.election.leader)
+        for start in range(0, len(polls), peers.POLLS_ITEMS):
+            asked = polls[start : start + peers.POLLS_ITEMS]
+            if ask is None or not ask.send(peers.polls(asked)):
+                for number, _ in asked:
                     question = self._questions.pop(number, None)
                     if question is not None:
                         question.answer(None)
--- a/src/eldercart/wire/peers.py
+++ b/src/eldercart/wire/peers.py
@@ -13,13 +13,14 @@
 import orjson
 
 from eldercart.units import Epoch, MachineId, NodeId, ReportOrder, Session
-from eldercart.wire.checks import Malformed, count, load_answer, objects, text
+from eldercart.wire.checks import Malformed, count, load_answer, objects, text, texts
 
 MAX_FRAME = 4 * 1024 * 1024
 
 # All workers may report in the same moment, each up to 64 KiB, and be answered as much: a frame
 # that is too long would end the connection, and again with each try.
 BATCH_BYTES, BATCH_ITEMS = 1024 * 1024, 40
+POLLS_ITEMS = 1000  # a submission may ask about thousands; their answers must fit as well
 
 # Kinds of frames: asked by the one that connected …
 GREET, REPORTS, POLLS, CANCEL = "greet", "reports", "polls", "cancel"
@@ -69,6 +70,7 @@
     verdict: str
     done: int
     running: int
+    waiting: tuple[str, ...] = ()  # some of the jobs that it awaits and that are not done
 
 
 def kind_of(frame: dict[str, Any]) -> str:
@@ -196,13 +198,22 @@
 
 
 def states(kind: str, items: list[Told]) -> bytes:
-    return orjson.dumps(
-        {"k": kind, "i": [{"n": t.number, "v": t.verdict, "d": t.done, "r": t.running}
-                          for t in items]}
-    )  # fmt: skip
+    return orjson.dumps({"k": kind, "i": [_told(t) for t in items]})
+
+
+def _told(t: Told) -> dict[str, Any]:
+    """An earlier version skips what a job waits for, and never tells it."""
+    value: dict[str, Any] = {"n": t.number, "v": t.verdict, "d": t.done, "r": t.running}
+    if t.waiting:
+        value["w"] = t.waiting
+    return value
 
 
 def parse_states(frame: dict[str, Any]) -> list[Told]:
     return [
-        Told(count(i, "n"), text(i, "v"), count(i, "d"), count(i, "r")) for i in objects(frame, "i")
-    ]
+        Told(
+            count(i, "n"), text(i, "v"), count(i, "d"), count(i, "r"),
+            texts(i, "w") if i.get("w") is not None else (),
+        )
+        for i in objects(frame, "i")
+    ]  # fmt: skip
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -1,11 +1,17 @@
 """Submissions that await others: what is accepted, what is stored, what is told."""
 
-from typing import Any
+import dataclasses
+from collections import deque
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, cast
 
 import orjson
 import pytest
 
+from eldercart.cli.client import _reason, _with_awaits
 from eldercart.core.jobs import (
+    END,
     JOB,
     NEEDS,
     job_record,
@@ -15,10 +21,15 @@
     parse_job_record,
     resolve,
 )
-from eldercart.units import JobId, Revision
-from eldercart.wire import Malformed, users
-from eldercart.wire.state import Item
-from world import submission
+from eldercart.net.buckets import Bucket
+from eldercart.net.front import Front
+from eldercart.settings import load_tuning
+from eldercart.settings.platform import parse_platform
+from eldercart.units import JobId, Revision, Steady
+from eldercart.wire import Malformed, cloud, peers, users
+from eldercart.wire.state import Drop, Item, Put, Txn
+from standins import CATALOG, StoreSim
+from world import PLATFORM, submission
 
 AWAITS: list[tuple[Any, tuple[str, ...] | None]] = [
     (None, ()),
@@ -104,3 +115,390 @@
     value["s"].append(last)
     with pytest.raises(Malformed):
         parse_job_record(JobId("wk-9"), value)
+
+
+class StoreCalls:
+    """`net.store.Store` over the stand-in. Answers come in turn, when the test lets them."""
+
+    def __init__(self, tokens: int) -> None:
+        self.sim = StoreSim()
+        self.requests = Bucket(0.0, tokens, Steady(0))
+        self.writes = Bucket(0.0, tokens, Steady(0))
+        self.answers: deque[Callable[[], Any]] = deque()
+        self.asked: list[str] = []
+        self.broken: set[str] = set()  # kinds of calls that get no answer
+        self.most_under_way = 0
+
+    def _answer(self, what: str, answer: Callable[[], Any]) -> None:
+        self.asked.append(what)
+        self.answers.append(answer)
+        self.most_under_way = max(self.most_under_way, len(self.answers))
+
+    def _item(self, obj: dict[str, Any]) -> Item:
+        return Item(obj["path"], obj["v"], Revision(obj["stamp"]))
+
+    def get(self, key: str, done: Callable[[bool, Item | None], None]) -> None:
+        self.requests.force(Steady(0))
+
+        def answer() -> None:
+            obj = self.sim.item(key)
+            if "get" in self.broken:
+                done(False, None)
+            else:
+                done(True, None if obj is None else self._item(obj))
+
+        self._answer("get", answer)
+
+    def range(self, prefix: str, done: Callable[[list[Item] | None, Revision], None]) -> None:
+        self.requests.force(Steady(0))
+
+        def answer() -> None:
+            items = [self._item(obj) for obj in self.sim.range(prefix)]
+            done(None if "range" in self.broken else items, Revision(self.sim.revision))
+
+        self._answer("range", answer)
+
+    def txn(self, txn: Txn, done: Callable[[int | None, Revision, tuple[str, ...]], None]) -> None:
+        def answer() -> None:
+            if "txn" in self.broken:
+                done(None, Revision(0), ())
+                return
+            status, obj = self.sim.txn(txn.body())
+            done(status, Revision(obj["ledgerRev"]), tuple(obj.get("failed", ())))
+
+        assert len(txn.guards) <= 4 * 6
+        assert len(txn.writes) <= 6
+        assert len(txn.body()) <= 64 * 1024
+        for write in txn.writes:
+            assert isinstance(write, Drop) or len(orjson.dumps(write.value)) <= 2048
+        self._answer("txn" if txn.writes else "compare", answer)
+
+    def put(self, *writes: Put) -> None:
+        assert self.sim.txn(Txn({}, list(writes)).body())[0] == 200
+
+
+class Asking:
+    """A user's request, and the answer it got."""
+
+    def __init__(self, body: dict[str, Any]) -> None:
+        self._body = orjson.dumps(body)
+        self.status = 0
+        self.answer: dict[str, Any] = {}
+        self.retry: int | None = None
+
+    def body(self) -> bytes:
+        return self._body
+
+    def reply(
+        self, status: int, body: bytes, retry_after: int | None = None, close: bool = False
+    ) -> None:
+        assert self.status == 0, "answered twice"
+        self.status, self.answer, self.retry = status, orjson.loads(body), retry_after
+
+
+class Place:
+    """A front with what it needs of a node; another one leads, or nobody."""
+
+    def __init__(self, tokens: int = 100_000) -> None:
+        self.now = 0.0
+        self.store = StoreCalls(tokens)
+        self.told: dict[str, str] | None = None  # by the leader; None: there is none
+        self.asked: list[str] = []
+        settings = dataclasses.replace(parse_platform(PLATFORM), value_bytes=2048, txn_ops=6)
+        self.node = SimpleNamespace(
+            settings=settings, tuning=load_tuning(), clock=lambda: Steady(self.now), lag=0.0,
+            store=self.store, types=cloud.parse_catalog(CATALOG),
+            leading=SimpleNamespace(controller=None, learn=lambda item: None),
+            relaying=SimpleNamespace(poll=self._poll),
+        )  # fmt: skip
+        self.front = self.node.front = Front(cast(Any, self.node))
+
+    def _poll(self, job: JobId, answer: Callable[[peers.Told | None], None]) -> bool:
+        if self.told is None:
+            return False
+        self.asked.append(job)
+        told = peers.Told(1, self.told.get(job, peers.UNKNOWN), 0, 0)
+        self.store.answers.append(lambda: answer(told))
+        return True
+
+    def settle(self) -> None:
+        while self.store.answers:
+            self.store.answers.popleft()()
+
+    def submit(self, body: dict[str, Any]) -> Asking:
+        asking = Asking(body)
+        self.front._submit(cast(Any, asking))
+        self.settle()
+        return asking
+
+    def poll(self, job: str) -> Asking:
+        asking = Asking({})
+        self.front._poll(cast(Any, asking), JobId(job))
+        self.settle()
+        return asking
+
+    def know(self, job: str, awaits: tuple[str, ...] = ()) -> None:
+        value = job_record(spec_with(list(awaits), job), 10, 1.0)
+        self.store.put(Put(JOB + job, value))
+
+    def ended(self, job: str, how: str) -> None:
+        self.store.put(Put(END + job, {"e": how, "n": 6}))
+        if JOB + job in self.store.sim.keys:
+            assert self.store.sim.txn(Txn({}, [Drop(JOB + job)]).body())[0] == 200
+
+
+def without(field: str) -> dict[str, Any]:
+    return {k: v for k, v in submission("wk-9").items() if k != field}
+
+
+MAY_BE_ABSENT = ("breeds", "yard", "dueS")
+SUBMISSIONS: list[tuple[str, dict[str, Any], int]] = [
+    *((f"no {f}", without(f), 201 if f in MAY_BE_ABSENT else 400) for f in submission("wk-9")),
+    ("unknown team", submission("wk-9", crew="nobody"), 422),
+    ("fits no machine", submission("wk-9", cpus=4000.0), 422),
+    ("unknown team and bad awaits", submission("wk-9", crew="nobody", awaits=[1]), 400),
+    ("unknown team and unknown job", submission("wk-9", crew="nobody", awaits=["wk-x"]), 422),
+    ("awaits a text", submission("wk-9", awaits="wk-open"), 400),
+    ("awaits an object", submission("wk-9", awaits={}), 400),
+    ("awaits false", submission("wk-9", awaits=False), 400),
+    ("awaits a number", submission("wk-9", awaits=[7]), 400),
+    ("awaits null in a list", submission("wk-9", awaits=["wk-open", None]), 400),
+    ("awaits a bad name", submission("wk-9", awaits=["wk-open", "open"]), 400),
+    ("awaits null", submission("wk-9", awaits=None), 201),
+    ("awaits nobody", submission("wk-9", awaits=[]), 201),
+    ("awaits itself", submission("wk-9", awaits=["wk-open", "wk-9"]), 422),
+    ("awaits an unknown job", submission("wk-9", awaits=["wk-x"]), 422),
+    ("awaits an unknown one among others", submission("wk-9", awaits=["wk-open", "wk-x"]), 422),
+    ("awaits an open job", submission("wk-9", awaits=["wk-open"]), 201),
+    ("awaits it twice", submission("wk-9", awaits=["wk-open", "wk-open"]), 201),
+    ("awaits a done one", submission("wk-9", awaits=["wk-done", "wk-open"]), 201),
+    ("awaits a cancelled one", submission("wk-9", awaits=["wk-gone"]), 201),
+]
+
+
+@pytest.mark.parametrize(
+    ("body", "status"), [s[1:] for s in SUBMISSIONS], ids=[s[0] for s in SUBMISSIONS]
+)
+@pytest.mark.parametrize("told", [None, {}, {"wk-open": "running"}], ids=["alone", "lags", "led"])
+def test_each_submission_gets_its_status(
+    body: dict[str, Any], status: int, told: dict[str, str] | None
+) -> None:
+    place = Place()
+    place.told = told
+    place.know("wk-open")
+    place.ended("wk-done", users.DONE)
+    place.ended("wk-gone", users.CANCELLED)
+    asking = place.submit(body)
+    assert asking.status == status, asking.answer
+    assert (JOB + "wk-9" in place.store.sim.keys) == (status == 201)
+
+
+@pytest.mark.parametrize("body", [s[1] for s in SUBMISSIONS if s[0] != "no nameId"])
+def test_a_repeat_gets_its_state_whatever_it_says_and_awaits(body: dict[str, Any]) -> None:
+    place = Place()
+    place.know("wk-open")
+    place.ended("wk-done", users.DONE)
+    place.ended("wk-gone", users.CANCELLED)
+    place.know("wk-9", ("wk-open",))
+    asking = place.submit(body)
+    assert (asking.status, asking.answer["standing"]) == (200, "pending")
+    place.ended("wk-9", users.DONE)
+    asking = place.submit(body)
+    assert (asking.status, asking.answer["standing"]) == (200, "done")
+
+
+def names(number: int) -> list[str]:
+    return [f"wk-{i:06d}" for i in range(number)]
+
+
+def test_thousands_of_names_take_few_requests_and_come_back_whole() -> None:
+    place = Place()
+    place.told = {}
+    for name in names(3000):
+        place.know(name)
+        place.told[name] = "pending"
+    asking = place.submit(submission("wk-last", awaits=names(3000)))
+    assert asking.status == 201
+    assert "compare" not in place.store.asked, "the leader told of all of them"
+    value = place.store.sim.keys[JOB + "wk-last"][0]
+    reference = list_reference(value)
+    assert reference is not None
+    assert len(place.store.asked) <= 2 + reference.parts // 6
+    prefix = needs_prefix(JobId("wk-last"), reference)
+    lists = [Item(i["path"], i["v"], Revision(i["stamp"])) for i in place.store.sim.range(prefix)]
+    whole = resolve(JobId("wk-last"), Item(JOB + "wk-last", value, Revision(1)), lists)
+    assert whole is not None
+    spec, _, _ = parse_job_record(JobId("wk-last"), whole.value)
+    assert spec.dependencies == tuple(names(3000))
+
+
+def test_what_tokens_do_not_allow_is_refused_and_gone_on_with() -> None:
+    """Each try is answered at once, and the next starts where it ended."""
+    place = Place(tokens=10)
+    for name in names(400):
+        place.know(name)
+    body = submission("wk-last", awaits=names(400))
+    tries = 0
+    while (asking := place.submit(body)).status != 201:
+        assert (asking.status, asking.retry) == (503, 2)
+        assert place.store.requests.available(Steady(0)) >= 0
+        assert place.store.writes.available(Steady(0)) >= 0
+        place.store.requests.give(Steady(0), 10 - place.store.requests.available(Steady(0)))
+        place.store.writes.give(Steady(0), 10 - place.store.writes.available(Steady(0)))
+        tries += 1
+        assert tries < 10
+    assert tries >= 2
+    assert place.store.most_under_way <= 4
+
+
+@pytest.mark.parametrize("kind", ["txn"])
+@pytest.mark.parametrize("awaits", [["wk-x"], ["wk-open"], names(300)])
+def test_without_an_answer_nothing_is_said_of_what_it_awaits(kind: str, awaits: list[str]) -> None:
+    place = Place()
+    place.know("wk-open")
+    place.store.broken = {kind}
+    asking = place.submit(submission("wk-9", awaits=awaits))
+    assert (asking.status, asking.retry) == (503, 2)
+    assert JOB + "wk-9" not in place.store.sim.keys
+
+
+def test_a_check_that_takes_too_long_is_given_up() -> None:
+    place = Place()
+    for name in names(400):
+        place.know(name)
+    asking = Asking(submission("wk-9", awaits=names(400)))
+    place.front._submit(cast(Any, asking))
+    while place.store.answers:
+        place.store.answers.popleft()()
+        place.now += 0.4
+    assert (asking.status, asking.retry) == (503, 2)
+    assert place.submit(submission("wk-9", awaits=names(400))).status in (201, 503)
+
+
+def chain(place: Place, length: int, per: int = 1) -> str:
+    """Jobs in a row; returns the last."""
+    place.know("wk-root")
+    before = ("wk-root",)
+    for i in range(length):
+        job = f"wk-{i:06d}"
+        place.know(job, before)
+        before = (*before[-(per - 1) :], job) if per > 1 else (job,)
+    return before[-1]
+
+
+@pytest.mark.parametrize(
+    ("root", "state"), [(None, "pending"), (users.DONE, "pending"), (users.CANCELLED, "aborted")]
+)
+@pytest.mark.parametrize(("length", "per"), [(1, 1), (2, 1), (40, 1), (2000, 1), (300, 3)])
+def test_a_look_up_tells_what_follows_from_a_cancelled_ancestor(
+    length: int, per: int, root: str | None, state: str
+) -> None:
+    place = Place()
+    last = chain(place, length, per)
+    if root is not None:
+        place.ended("wk-root", root)
+    polled = place.poll(last)
+    assert (polled.status, polled.answer["standing"]) == (200, state)
+    assert len(place.store.asked) < 150
+    repeat = place.submit(submission(last, awaits=["wk-root"]))
+    assert (repeat.status, repeat.answer["standing"]) == (200, state)
+
+
+def test_a_wide_job_is_looked_up_in_few_requests() -> None:
+    place = Place()
+    for name in names(1000):
+        place.know(name)
+    value = job_record(spec_with(names(1000), "wk-last"), 10, 1.0)
+    place.store.put(Put(JOB + "wk-last", value))
+    for name in names(500)[:-1]:
+        place.ended(name, users.DONE)
+    assert place.poll("wk-last").answer["standing"] == "pending"
+    assert len(place.store.asked) < 60
+    place.ended(names(1000)[-1], users.CANCELLED)
+    before = len(place.store.asked)
+    assert place.poll("wk-last").answer["standing"] == "aborted"
+    assert len(place.store.asked) - before < 30
+
+
+def test_a_look_up_without_tokens_says_so_and_the_next_goes_on() -> None:
+    place = Place(tokens=10)
+    last = chain(place, 12)
+    place.ended("wk-root", users.CANCELLED)
+    tries = 0
+    while (asking := place.poll(last)).status != 200:
+        assert (asking.status, asking.retry) == (503, 2)
+        assert place.store.requests.available(Steady(0)) >= 0
+        place.store.requests.give(Steady(0), 10 - place.store.requests.available(Steady(0)))
+        tries += 1
+        assert tries < 20
+    assert tries > 1
+    assert asking.answer["standing"] == "aborted"
+
+
+@pytest.mark.parametrize("kind", ["get", "txn", "range"])
+def test_a_walk_without_an_answer_is_not_a_state(kind: str) -> None:
+    place = Place()
+    for name in names(20):
+        place.know(name, ("wk-root",))
+    place.ended("wk-root", users.CANCELLED)
+    place.know("wk-last", tuple(names(20)))
+    place.store.broken = {kind}
+    assert place.poll("wk-last").status == 503
+
+
+def test_a_list_that_is_not_there_is_not_none() -> None:
+    place = Place()
+    value = job_record(spec_with(["wk-1"], "wk-9"), 10, 1.0, users.ListReference("abc", 1))
+    place.store.put(Put(JOB + "wk-9", value))
+    assert place.poll("wk-9").status == 503
+
+
+def test_a_job_that_awaits_none_costs_two_reads() -> None:
+    place = Place()
+    place.know("wk-9")
+    assert place.poll("wk-9").status == 200
+    assert place.store.asked == ["get", "get"]
+
+
+def test_the_answer_tells_some_that_it_waits_for() -> None:
+    told = peers.Told(3, "pending", 0, 0, ("wk-1", "wk-2"))
+    plain = peers.Told(4, "pending", 0, 0)
+    frame = peers.parse(peers.states(peers.STATES, [told, plain]))
+    assert peers.parse_states(frame) == [told, plain]
+    assert set(frame["i"][1]) == {"n", "v", "d", "r"}, "as the earlier version writes it"
+    body = orjson.loads(users.state_body(JobId("wk-9"), "pending", 0, 0, tuple(names(30))))
+    assert body["awaits"] == names(20)
+    assert "awaits" not in orjson.loads(users.state_body(JobId("wk-9"), "pending", 0, 0))
+
+
+@pytest.mark.parametrize(
+    ("answer", "text"),
+    [
+        ({}, ""),
+        ({"awaits": []}, ""),
+        ({"awaits": ["wk-1", "wk-2"]}, ", waits for wk-1 wk-2"),
+        ({"waiting": ["wk-1"]}, ", waits for wk-1"),
+        ({"waiting": "no room"}, ", waits: no room"),
+    ],
+)
+def test_the_command_line_shows_why_a_job_waits(answer: dict[str, Any], text: str) -> None:
+    assert _reason(answer) == text
+
+
+@pytest.mark.parametrize(
+    ("named", "added", "result"),
+    [
+        (None, ["wk-1"], ("wk-1",)),
+        (["wk-2"], ["wk-1", "wk-2"], ("wk-2", "wk-1")),
+        ("no", ["wk-1"], None),
+    ],
+)
+def test_the_command_line_adds_what_a_job_awaits(
+    named: Any, added: list[str], result: tuple[str, ...] | None
+) -> None:
+    raw = orjson.dumps(submission("wk-9", awaits=named))
+    if result is None:
+        with pytest.raises(Malformed):
+            _with_awaits(raw, added)
+    else:
+        assert users.parse_submission(orjson.loads(_with_awaits(raw, added))).dependencies == result
