Jobs wait for those they await; a durable cancellation is that of all downstream

The dependency graph (core/graph.py) is derived from the store: job records name what they await, and only durable ends count. A job that waits is placed nowhere and holds nothing of limit, guarantee or demand; its waiting counts from readiness, its deadline from the submission. A cancellation is told for all downstream as soon as the first end is durable, and after a change of leader follows from the same keys; as long as an end before a job is unread or its outcome unknown, a fresh read tells instead of the leader. Those upstream have the highest priority and the earliest due time of any job that needs them. A cancelled job without placements loses its record in the transaction of its end.

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 
 from eldercart.core import memory
 from eldercart.core import placement as rules
@@ -26,7 +27,7 @@
 )
 from eldercart.core.fleet import Life
 from eldercart.core.floor import Floor
-from eldercart.core.jobs import GONE, JOB, Phase, end_of, parse_job_record
+from eldercart.core.jobs import GONE, JOB, Job, Phase, end_of, parse_job_record
 from eldercart.core.machines import Machines, Order
 from eldercart.core.planner import Planner
 from eldercart.core.records import Outcome, PendingTxn, Records
@@ -119,9 +120,12 @@
             job.ended = end_of(item.value)
             job.cancelled = job.ended == users.CANCELLED
             self.records.cleaning[job.id] = job
+            self.floor.ended(job.id, job.ended, now)
         self.records.orphans = orphans
         for job in self.jobs.jobs.values():
             self.jobs.finish_load(job)
+            if job.chunks:
+                self.floor.take(self.floor.graph.begun(job, now), now)
             if job.complete and job.ended is None:
                 self.floor.ending[job.id] = job
         heard = Steady(now + self.tuning.takeover_grace_s)
@@ -160,10 +164,7 @@
             return
         f = self.floor
         arrived = Steady(min(now, at - self._zero_wall))
-        f.predictor.arrived(self.jobs.add(spec, size, arrived), now)
-        f.rental.arrived(now)
-        f.plan_wanted = True
-        f.rental_due = now
+        f.take(f.graph.add(self.jobs.add(spec, size, arrived), now), now)
         log.info(
             "job accepted job=%s class=%s team=%s tasks=%d cpus=%g image=%s",
             spec.id, spec.klass, spec.team, spec.tasks, spec.cpus, spec.image,
@@ -177,12 +178,22 @@
             return Verdict.UNKNOWN_JOB
         if job.ended is not None:
             return JobStatus(job.ended, job.done_count, 0)
+        if job.orphaned:
+            return JobStatus(users.CANCELLED, job.done_count, 0)
         if job.end_sent:
             # The end may be durable already and told elsewhere; an older answer would go back.
             # As long as it was not sent, nobody can have been told, however long it must wait.
             return Verdict.UNDECIDED
+        if job.awaited and self._may_be_orphaned(job):
+            return Verdict.UNKNOWN_JOB  # a fresh read can tell
         state = users.RUNNING if job.running else users.PENDING
-        return JobStatus(state, job.done_count, job.running)
+        waiting = tuple(islice(job.awaited, users.MAX_TOLD)) if job.awaited else ()
+        return JobStatus(state, job.done_count, job.running, waiting)
+
+    def _may_be_orphaned(self, job: Job) -> bool:
+        graph, ending = self.floor.graph, self.floor.ending.values()
+        doubt = graph.reading or any(j.cancelled and j.end_sent for j in ending)
+        return doubt and graph.undecided(job)
 
     def cancel(self, job_id: JobId, now: Steady) -> str | Verdict:
         """The final state if it is durable; UNDECIDED: wait for `finished`."""
@@ -191,6 +202,8 @@
             return Verdict.UNKNOWN_JOB
         if job.ended is not None:
             return job.ended
+        if job.orphaned:
+            return users.CANCELLED  # the end of the job before it is durable
         if not job.cancelled and not job.complete:
             job.cancelled = True
             self.floor.ending[job_id] = job
@@ -337,8 +350,19 @@
     def reread_done(self, key: str, item: Item | None, now: Steady) -> None:
         self.records.reread_done(key, item, now)
 
+    def take_unread(self, now: Steady, most: int) -> list[JobId]:
+        """Jobs that others await and whose ends must be read."""
+        return self.floor.graph.take_unread(now, most)
+
+    def end_read(self, job: JobId, how: str | None, now: Steady) -> None:
+        """The durable end of a job; None: there is none, or it could not be read."""
+        if how is None:
+            self.floor.graph.absent(job, now)
+        else:
+            self.floor.ended(job, how, now)
+
     def take_finished(self) -> list[tuple[JobId, str]]:
-        out, self.records.finished = self.records.finished, []
+        out, self.floor.finished = self.floor.finished, []
         return out
 
     def take_start_waits(self) -> list[float]:
--- a/src/eldercart/core/fleet.py
+++ b/src/eldercart/core/fleet.py
@@ -135,6 +135,7 @@
 
     def occupy(self, m: Machine, p: Placement) -> None:
         spec = p.job.spec
+        p.priority = p.job.priority  # which may change meanwhile; the sums must not
         m.placed[p.key] = p
         m.live += 1
         m.free_cpus -= spec.cpus
@@ -143,8 +144,8 @@
         if p.stopping:
             self._leave(m, spec, 1)
         else:
-            m.by_priority[spec.priority] = m.by_priority.get(spec.priority, 0.0) + spec.cpus
-        self.used[spec.priority] = self.used.get(spec.priority, 0.0) + spec.cpus
+            m.by_priority[p.priority] = m.by_priority.get(p.priority, 0.0) + spec.cpus
+        self.used[p.priority] = self.used.get(p.priority, 0.0) + spec.cpus
         self.team_cpus[spec.team] = self.team_cpus.get(spec.team, 0.0) + spec.cpus
         self.team_gpus[spec.team] = self.team_gpus.get(spec.team, 0.0) + spec.gpus
         if not spec.spot and not m.spot:
@@ -160,8 +161,8 @@
         if p.stopping:
             self._leave(m, spec, -1)
         else:
-            m.by_priority[spec.priority] -= spec.cpus
-        self.used[spec.priority] -= spec.cpus
+            m.by_priority[p.priority] -= spec.cpus
+        self.used[p.priority] -= spec.cpus
         self.team_cpus[spec.team] -= spec.cpus
         self.team_gpus[spec.team] -= spec.gpus
         if not spec.spot and not m.spot:
@@ -177,7 +178,7 @@
         if m is not None and m.placed.get(p.key) is p and p.phase is not Phase.ENDED:
             spec = p.job.spec
             self._leave(m, spec, 1)
-            m.by_priority[spec.priority] -= spec.cpus
+            m.by_priority[p.priority] -= spec.cpus
 
     def _leave(self, m: Machine, spec: JobSpec, sign: int) -> None:
         m.leaving_cpus += sign * spec.cpus
--- a/src/eldercart/core/floor.py
+++ b/src/eldercart/core/floor.py
@@ -6,14 +6,16 @@
 import logging
 
 from eldercart.core.fleet import Fleet, Life, Machine
+from eldercart.core.graph import DependencyGraph, Effect
 from eldercart.core.health import Health, Obedience
 from eldercart.core.jobs import Job, JobBook, Phase, Placement
 from eldercart.core.placement import Promises
 from eldercart.core.prediction import Predictor
 from eldercart.core.rental import Rental
 from eldercart.settings import NodeSettings, Tuning
-from eldercart.units import Epoch, JobId, MachineId, NodeId, Steady
+from eldercart.units import FOREVER, Epoch, JobId, MachineId, NodeId, Steady
 from eldercart.wire.cloud import MachineType
+from eldercart.wire.users import CANCELLED
 
 log = logging.getLogger("eldercart.controller")
 
@@ -42,10 +44,47 @@
         self.ending: dict[JobId, Job] = {}  # complete or cancelled, end not yet durable
         self.doomed: dict[MachineId, None] = {}
         self.orders: dict[MachineId, None] = {}  # machines to be told directly what to kill
+        self.finished: list[tuple[JobId, str]] = []  # newly durable ends, for waiting answers
+        self.graph = DependencyGraph(self.jobs, self._rest_s, self._due)
         self.work_done = self.work_lost = 0.0  # CPU seconds, as seen here
         self.start_waits: list[float] = []  # seconds from submission, of tasks that began
         self._wants: dict[MachineId, Machine] = {}
 
+    # -- dependencies
+
+    def _rest_s(self, job: Job) -> float:
+        """How long the job takes once it is ready, as far as can be told."""
+        return self.predictor.longest_s(job)
+
+    def _due(self, job: Job) -> Steady:
+        """By its own deadline, which counts from the submission however long it waits."""
+        deadline = job.spec.deadline_s
+        return FOREVER if deadline is None else Steady(job.arrived + deadline)
+
+    def ended(self, job: JobId, how: str, now: Steady) -> None:
+        """A durable end: of a job in the book, or of one that others await."""
+        self.take(self.graph.ended(job, how, now), now)
+
+    def take(self, effect: Effect, now: Steady) -> None:
+        for job in effect.ready:
+            self.predictor.arrived(job, now)
+            self.rental.arrived(now)
+            self.plan_wanted = True
+            self.rental_due = now
+            if job.spec.dependencies:
+                log.info("job ready job=%s waited=%.1f", job.id, now - job.arrived)
+        for job in effect.orphaned:
+            # Told from now on, whatever becomes of its own end: who asks after a change of leader
+            # is told the same, since it follows from the end of the job before it.
+            if job.ended is None:
+                log.info("job orphaned job=%s", job.id)
+                job.cancelled = True
+                self.ending[job.id] = job
+                self.stop_all(job, now)
+                self.finished.append((job.id, CANCELLED))
+
+    # -- tasks
+
     def void(self, p: Placement, now: Steady) -> None:
         """The task is proven not to be on its machine."""
         m = self.fleet.get(p.machine)
--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from eldercart.units import (
+    FOREVER,
     Attempt,
     JobId,
     MachineId,
@@ -64,6 +65,7 @@
     since: Steady = Steady(0)  # start of running, as seen here
     since_known: bool = True  # False: it ran already when this leader first heard of it
     reported: bool = False
+    priority: int = 0  # the job's when it was placed
     kept: bool = False  # the first of a job that waited too long: not stopped for others
     mark: int = 0  # of the last report that listed it
     told: int = 0  # launches or kills of it that went out without effect so far
@@ -93,6 +95,13 @@
         self.id = spec.id
         self.size = size
         self.arrived = arrived
+        # What the dependency graph says of it, see `graph`.
+        self.awaited: set[JobId] = set()  # jobs before it that are not known to be done
+        self.ready = not spec.dependencies  # all of them are done, durably
+        self.ready_at = arrived  # from when its waiting counts
+        self.orphaned = False  # the cancellation of a job before it is durable, and so is its own
+        self.priority = spec.priority  # the highest of any job that needs it
+        self.due = FOREVER  # when it should be done for the sake of those that need it
         self.done = bytearray(spec.tasks)
         self.done_count = 0
         self.running = 0
@@ -122,8 +131,9 @@
 
     @property
     def open(self) -> bool:
-        """Neither ended nor asked to be cancelled: its tasks may start."""
-        return self.ended is None and not self.cancelled and not self.unreadable
+        """Neither ended nor asked to be cancelled, and nothing before it is outstanding: its tasks
+        may start."""
+        return self.ended is None and self.ready and not self.cancelled and not self.unreadable
 
     @property
     def complete(self) -> bool:
--- a/src/eldercart/core/machines.py
+++ b/src/eldercart/core/machines.py
@@ -176,7 +176,7 @@
                     p.told = 0
             if state == workers.TASK_RUNNING:
                 if p.phase is not Phase.RUNNING:
-                    f.start_waits.append(now - p.job.arrived)
+                    f.start_waits.append(now - p.job.ready_at)
                     f.jobs.set_phase(p, Phase.RUNNING, now)
             elif state == workers.SAVING:
                 f.jobs.set_phase(p, Phase.SAVING, now)
@@ -245,7 +245,7 @@
         teams = f.settings.teams
         waiting = sorted(
             m.queue.values(),
-            key=lambda p: (not p.job.aged, -p.job.spec.priority, p.job.rank, p.queued_at),
+            key=lambda p: (not p.job.aged, -p.job.priority, p.job.rank, p.queued_at),
         )
         for p in waiting:
             if p.phase is not Phase.WANTED or p.key in m.placed:
@@ -257,11 +257,12 @@
             if not p.job.aged:
                 for above in self.planner.waiting:
                     # Room for a waiting task of higher priority is not broken up; the rest is used.
-                    if above.priority > spec.priority and rules.allowed(above, m):
-                        n = rules.fits(above, cpus, gpus, memory)
-                        cpus -= n * above.cpus
-                        gpus -= n * above.gpus
-                        memory -= n * above.memory_gb
+                    room = above.spec
+                    if above.priority > p.job.priority and rules.allowed(room, m):
+                        n = rules.fits(room, cpus, gpus, memory)
+                        cpus -= n * room.cpus
+                        gpus -= n * room.gpus
+                        memory -= n * room.memory_gb
             if (
                 rules.fits(spec, cpus, gpus, memory) < 1
                 or rules.team_room(spec, f.fleet, teams) < 1
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -7,7 +7,7 @@
 from eldercart.core.fleet import EPS, Fleet, Machine
 from eldercart.core.jobs import Job, Phase, Placement
 from eldercart.settings.platform import Team
-from eldercart.units import Steady
+from eldercart.units import FOREVER, Steady
 from eldercart.wire.cloud import MachineType
 from eldercart.wire.users import JobSpec
 
@@ -218,11 +218,15 @@
     def start_dues(self, job: Job, longest_s: float) -> list[float]:
         """Until when the job should have been started, the nearest first."""
         spec = job.spec
-        dues = [job.arrived + wait for wait in self.waits.get(spec.klass, ())]
-        done_by = list(self.finishes.get(spec.klass, ()))
+        # A deadline counts from the submission, all else from when the job could start.
+        dues = [job.ready_at + wait for wait in self.waits.get(spec.klass, ())]
+        done_by = [job.ready_at + within for within in self.finishes.get(spec.klass, ())]
         if spec.deadline_s is not None:
-            done_by += [t * spec.deadline_s for t in self.deadlines.get(spec.klass, (1.0,))]
-        dues += [job.arrived + within - longest_s for within in done_by]
+            times = self.deadlines.get(spec.klass, (1.0,))
+            done_by += [job.arrived + t * spec.deadline_s for t in times]
+        if job.due < FOREVER:
+            done_by.append(job.due)  # for those that wait for it
+        dues += [by - longest_s for by in done_by]
         return sorted(dues)
 
     def preempts_from(self, job: Job, lead_s: float, patience_s: float) -> float:
@@ -230,8 +234,8 @@
         takes what ends by itself: stopped work is lost, and most would have ended soon."""
         waits = self.waits.get(job.spec.klass)
         if not waits:
-            return job.arrived + patience_s
-        return job.arrived + min(waits[0] - lead_s, 0.55 * waits[0])
+            return job.ready_at + patience_s
+        return job.ready_at + min(waits[0] - lead_s, 0.55 * waits[0])
 
 
 def order_jobs(
@@ -260,7 +264,7 @@
         guaranteed = team is not None and (
             fleet.team_cpus.get(spec.team, 0.0) + spec.cpus <= team.cpus + EPS
         )
-        levels.setdefault((-spec.priority, not guaranteed, spec.spot), []).append(job)
+        levels.setdefault((-job.priority, not guaranteed, spec.spot), []).append(job)
     ordered: list[Job] = []
     begun = {False: 0.0, True: 0.0}  # CPU seconds asked for by the levels above, per kind
     for level in sorted(levels):
@@ -273,9 +277,9 @@
             dues = promises.start_dues(job, longest_s(job))
             due = next((d for d in dues if d > now), None)
             if due is None:
-                late.append((seconds, job.arrived, job.id, job))
+                late.append((seconds, job.ready_at, job.id, job))
             else:
-                dated.append((due, job.arrived, job.id, seconds, job))
+                dated.append((due, job.ready_at, job.id, seconds, job))
         dated.sort(key=lambda entry: entry[:3])
         kept: list[tuple[float, float, str, Job]] = []  # a heap, the most work first
         set_aside: set[str] = set()
@@ -308,9 +312,7 @@
     candidates = [
         (lost_work(p, now), p.key, p)
         for p in m.placed.values()
-        if p.job.spec.priority < spec.priority
-        and not (p.stopping or p.kept)
-        and p.phase is not Phase.ENDED
+        if p.priority < job.priority and not (p.stopping or p.kept) and p.phase is not Phase.ENDED
     ]
     candidates.sort(key=lambda c: c[:2])
     cpus = m.free_cpus - m.held_cpus + m.leaving_cpus
--- a/src/eldercart/core/planner.py
+++ b/src/eldercart/core/planner.py
@@ -27,7 +27,7 @@
 
     def __init__(self, floor: Floor) -> None:
         self.f = floor
-        self.waiting: list[JobSpec] = []  # of jobs that found no room in the last pass
+        self.waiting: list[Job] = []  # of jobs that found no room in the last pass
         self._planned = Steady(-1e9)
         self._cost = 0.0  # seconds that a pass takes, as told by the adapter
         self._turn = 0
@@ -88,8 +88,8 @@
         t = self.f.tuning
         first: list[tuple[Job, int | None]] = []
         ahead: dict[int, list[tuple[Job, int | None]]] = {}
-        for job in sorted(ordered, key=lambda j: (j.arrived, j.id)):
-            waited = now - job.arrived
+        for job in sorted(ordered, key=lambda j: (j.ready_at, j.id)):
+            waited = now - job.ready_at
             job.aged = not job.begun and waited >= t.starve_s
             if not job.aged:
                 continue
@@ -100,12 +100,12 @@
             if waited >= t.starve_below_s:
                 first.append((job, left))
             else:
-                ahead.setdefault(job.spec.priority, []).append((job, left))
+                ahead.setdefault(job.priority, []).append((job, left))
         out = first
         level: int | None = None
         for job in ordered:
-            if job.spec.priority != level:
-                level = job.spec.priority
+            if job.priority != level:
+                level = job.priority
                 out += ahead.get(level, [])
             out.append((job, None))
         return out
@@ -160,18 +160,18 @@
         patience = f.tuning.preempt_wait_s
         for job, cap in self.jobs:
             spec = job.spec
-            if cap is None and spec.priority != level:
-                for above in [p for p in ahead if p >= spec.priority]:
+            if cap is None and job.priority != level:
+                for above in [p for p in ahead if p >= job.priority]:
                     for m, held in ahead.pop(above):
                         f.fleet.hold(m, held, 1)
-                level = spec.priority
+                level = job.priority
             shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
             if self.open and shape not in self._full:
-                kept = spec.spot and keeps is not None and spec.priority <= keeps and cap is None
+                kept = spec.spot and keeps is not None and job.priority <= keeps and cap is None
                 kept = kept and not job.shy
                 self._place(job, shape, kept, cap)
             if cap is None and (job.pending or job.queued):
-                self.planner.waiting.append(spec)
+                self.planner.waiting.append(job)
             left = min(job.pending, rules.team_room(spec, f.fleet, f.settings.teams))
             if cap is not None:
                 left = min(left, cap - job.queued)
@@ -188,7 +188,7 @@
         for m in self.f.fleet.queues.values():
             for p in m.queue.values():
                 spec = p.job.spec
-                out.setdefault(spec.priority, []).append((m, spec))
+                out.setdefault(p.job.priority, []).append((m, spec))
         return out
 
     def _place(self, job: Job, shape: tuple[Any, ...], no_ordinary: bool, cap: int | None) -> None:
@@ -218,8 +218,8 @@
         free = sum(m.free_cpus for m in self.machines if not m.spot)
         top = -1
         for job in self.f.jobs.jobs.values():
-            if not job.spec.spot and job.ended is None:
-                top = max(top, job.spec.priority)
+            if not job.spec.spot and job.ended is None and job.ready:
+                top = max(top, job.priority)
         wanted = self.f.rental.targets()[0] - self.f.fleet.ordinary_used
         return top if top >= 0 and wanted >= free else None
 
@@ -296,7 +296,7 @@
                 if n > 0:
                     self._enqueue(job, m, n)
                     claimed += n
-        if not any(cpus > EPS for below, cpus in f.fleet.used.items() if below < spec.priority):
+        if not any(cpus > EPS for below, cpus in f.fleet.used.items() if below < job.priority):
             return claimed
         offers: list[tuple[float, str, Machine, list[Any]]] = []
         looked = 0
@@ -304,7 +304,7 @@
         start = self.planner.turn(number)
         for i in range(number):
             m = self.machines[(start + i) % number]
-            if not any(c > EPS for below, c in m.by_priority.items() if below < spec.priority):
+            if not any(c > EPS for below, c in m.by_priority.items() if below < job.priority):
                 continue
             if not rules.allowed(spec, m) or m.id in job.bad_machines:
                 continue
--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -58,7 +58,6 @@
         self.f = floor
         self.reread: set[str] = set()
         self.reread_under_way: set[str] = set()
-        self.finished: list[tuple[JobId, str]] = []  # newly durable ends, for waiting answers
         self.cleaning: dict[JobId, Job] = {}
         self.orphans: list[tuple[str, Revision]] = []
         self.sheets = Sheets(floor.settings.value_bytes, floor.epoch)
@@ -124,7 +123,7 @@
             pending.ends.append((job, how))
             pending.units.add(job.id)
             pending.size += 250
-            if how == users.DONE:
+            if not any(p.phase is not Phase.ENDED for p in job.placements()):
                 # Nothing of it is anywhere: its record goes at once, and with it what sheets say.
                 txn.writes.append(Drop(JOB + job.id))
                 pending.cleanups.append(job)
@@ -151,7 +150,7 @@
                     continue
                 left = True
                 if c.urgent:
-                    rank = (not job.aged, -job.spec.priority, job.rank, c.number)
+                    rank = (not job.aged, -job.priority, job.rank, c.number)
                     urgent.append((*rank, job, c))
                 elif now - c.dirty_since >= f.tuning.flush_done_s:
                     idle.append((c.dirty_since, job, c))
@@ -345,7 +344,8 @@
         if how == users.CANCELLED and not job.cancelled:
             job.cancelled = True
         f.stop_all(job, now)
-        self.finished.append((job.id, how))
+        f.finished.append((job.id, how))
+        f.ended(job.id, how, now)
         f.plan_wanted = True
         log.info("job ended job=%s how=%s seconds=%.1f", job.id, how, now - job.arrived)
         if job.ran:
--- a/src/eldercart/net/leading.py
+++ b/src/eldercart/net/leading.py
@@ -22,10 +22,12 @@
 )
 from eldercart.core.controller import Delete as DeleteCall
 from eldercart.core.jobs import (
+    END,
     GONE,
     JOB,
     NEEDS,
     PLACE,
+    end_of,
     list_reference,
     needs_prefix,
     resolve,
@@ -35,7 +37,7 @@
 from eldercart.net.buckets import Bucket
 from eldercart.net.client import HttpClient, WorkerClient
 from eldercart.net.soon import Soon
-from eldercart.net.store import FOR_ENDS, FOR_MEMORY, FOR_PLACING
+from eldercart.net.store import FOR_ENDS, FOR_MEMORY, FOR_PLACING, FOR_POLLS
 from eldercart.units import Epoch, JobId, MachineId, NodeId, ReportOrder, Revision, Steady, WallTime
 from eldercart.wire import Malformed, cloud, peers, users, workers
 from eldercart.wire.checks import load_object
@@ -60,6 +62,7 @@
     503: Outcome.REFUSED,
 }  # any other status, or none: unknown
 LIST_AGAIN_S, LIST_LONGEST_S = 0.5, 10.0  # pauses before a list is read again
+READS = 20  # ends of awaited jobs that are read at once
 PUMP_S = 0.02  # in which events gather before what follows from them is looked for
 
 
@@ -279,6 +282,8 @@
         for key in list(c.reread):
             if node.store.requests.take(now):
                 self._reread(c, key)
+        for job in c.take_unread(now, min(READS, node.store.requests.available(now, FOR_POLLS))):
+            self._read_end(c, job)
         if node.store.requests.available(now, FOR_ENDS) >= 1:
             reserve = FOR_ENDS if c.ends_waiting else FOR_PLACING
             ops = node.store.writes.available(now, reserve)
@@ -390,6 +395,22 @@
 
         self.node.store.get(key, done)
 
+    def _read_end(self, c: Controller, job: JobId) -> None:
+        """How a job ended that others await and that is not in the book any more."""
+        how = self.node.front.final_of(job)
+        if how is not None:
+            c.end_read(job, how, self.node.clock())
+            return
+        life = self._life
+
+        def done(ok: bool, item: Item | None) -> None:
+            if life != self._life:
+                return
+            c.end_read(job, None if item is None else end_of(item.value), self.node.clock())
+            self.pump_soon()
+
+        self.node.store.get(END + job, done)
+
     def _call_cloud(self, c: Controller, call: Any) -> None:
         life = self._life
 
