Room is booked for successors that are submitted, one boot before the last job before them ends

A guess is needed only for what is not submitted yet. The booking is taken when the job is ready, and returned when the job before it is cancelled.

--- a/src/eldercart/core/cloudwork.py
+++ b/src/eldercart/core/cloudwork.py
@@ -106,6 +106,7 @@
         fleet = sum(m.type.cpus for m in f.fleet.machines.values() if m.life is Life.UP)
         used = sum(f.fleet.team_cpus.values()) + f.predictor.booked(self._held)[1]
         load = used / fleet if fleet else 0.0
+        ending: dict[JobId, float] = {}  # jobs that end within a boot
         for job in f.jobs.jobs.values():
             if not job.open or job.pending or job.queued:
                 continue
@@ -117,6 +118,18 @@
                     if left > boot:
                         break
             f.predictor.prepare(job, left, boot, load, now)
+            if left <= boot:
+                ending[job.id] = left
+        for job_id in ending:
+            for after in f.graph.dependents(job_id):
+                if after.ended is None and all(name in ending for name in after.awaited):
+                    last = max(after.awaited, key=lambda name: ending[name])
+                    left = ending[last]
+                    cpus = after.spec.cpus * after.spec.tasks
+                    team = f.settings.teams.get(after.spec.team)
+                    if team is not None and team.cpus_max > 0:
+                        cpus = min(cpus, team.cpus_max)  # more of it can't run at once
+                    f.predictor.prepare_submitted(after, cpus, last, left, boot, load, now)
 
     # -- calls
 
--- a/src/eldercart/core/floor.py
+++ b/src/eldercart/core/floor.py
@@ -79,6 +79,7 @@
             if job.ended is None:
                 log.info("job orphaned job=%s", job.id)
                 job.cancelled = True
+                self.predictor.returned(job.id)
                 self.ending[job.id] = job
                 self.stop_all(job, now)
                 self.finished.append((job.id, CANCELLED))
--- a/src/eldercart/core/prediction.py
+++ b/src/eldercart/core/prediction.py
@@ -48,6 +48,7 @@
     cpus: float
     spot: bool
     until: Steady
+    successor: JobId | None = None  # submitted already: nothing had to be guessed
 
 
 @dataclass(slots=True)
@@ -132,7 +133,7 @@
             before = stream.seen[-1]
             before.successor = spec.image
             self._count(stream, before)
-        self._resolve((spec.team, spec.klass), spec.image)
+        self._resolve(job)
         stream.recent.append(spec.image)
         while len(stream.recent) > self._tuning.path_length:
             stream.recent.popleft()
@@ -209,13 +210,39 @@
         self.bookings.append(booking)
         log.debug("booked pipeline=%s/%s image=%s cpus=%g", *pipeline, image, booking.cpus)
 
-    def _resolve(self, pipeline: Pipeline, image: str) -> None:
-        """A job has arrived: it takes the booking made for its image; if there is none, the
-        oldest one of the pipeline was a miss and its room is returned."""
+    def prepare_submitted(
+        self, after: Job, cpus: float, upstream: JobId, ends_in: float, boot_s: float, load: float,
+        now: Steady,
+    ) -> None:  # fmt: skip
+        """The same for a successor that is submitted already and waits for that job last: its room
+        is booked, as deep as the load allows, without a guess."""
+        spec = after.spec
+        pipeline = (spec.team, spec.klass)
         mine = [b for b in self.bookings if b.pipeline == pipeline]
+        if len(mine) >= self.depth(load) or any(b.successor == after.id for b in mine):
+            return
+        until = Steady(now + max(ends_in, 0.0) + boot_s)
+        self.bookings.append(
+            Booking(pipeline, upstream, spec.image, cpus, spec.spot, until, after.id)
+        )
+        log.debug("booked job=%s image=%s cpus=%g", after.id, spec.image, cpus)
+
+    def returned(self, job: JobId) -> None:
+        """The successor will not come: its room is returned."""
+        kept = [b for b in self.bookings if b.successor != job]
+        self.misses += len(self.bookings) - len(kept)
+        self.bookings = kept
+
+    def _resolve(self, job: Job) -> None:
+        """A job has arrived, or is ready: it takes the booking made for it or its image; if there
+        is none, the oldest guess of the pipeline was a miss and its room is returned."""
+        pipeline = (job.spec.team, job.spec.klass)
+        mine = [b for b in self.bookings if b.pipeline == pipeline]
+        own = next((b for b in mine if b.successor == job.id), None)
+        mine = [own] if own is not None else [b for b in mine if b.successor is None]
         if not mine:
             return
-        hit = next((b for b in mine if b.image == image), None)
+        hit = own or next((b for b in mine if b.image == job.spec.image), None)
         if hit is not None:
             self.hits += 1
         else:
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -267,7 +267,7 @@
 def test_a_waiting_job_holds_nothing() -> None:
     """Neither room nor demand nor its team's limit: what is ready gets all of it."""
     w = World(5)
-    w.submit("wk-a", parcels=1, crew="t1", run_s=60.0)
+    w.submit("wk-a", parcels=1, crew="t1", run_s=60.0, haulS=60.0)
     w.submit("wk-b", parcels=200, crew="t1", awaits=["wk-a"], run_s=5.0)
     w.submit("wk-c", parcels=8, crew="t1", run_s=5.0)
     w.run(40.0)
@@ -277,3 +277,49 @@
     assert c.status(JobId("wk-b")).waiting == ("wk-a",)  # type: ignore[union-attr]
     assert len(w.cloud.machines) <= 4, "nothing is rented for what waits"
     assert not c.jobs.jobs[JobId("wk-b")].chunks
+
+
+def predictor_with(
+    awaits: tuple[str, ...], ending: tuple[str, ...], load: float = 0.0
+) -> tuple[World, list[tuple[str, str, float]]]:
+    """The bookings once the jobs of `ending` have all of their tasks running and near their end."""
+    w = World(6, tuning={"flush_done_s": 1.0})
+    for name in ("a", "b"):
+        w.submit(f"wk-{name}", parcels=2, run_s=6.0 if name in ending else 200.0, haulS=6.0)
+    w.submit("wk-c", parcels=3, awaits=[f"wk-{n}" for n in awaits], kit="other", lot="next")
+    c = w.controller
+    assert c is not None
+    found: list[tuple[str, str, float]] = []
+    for _ in range(150):
+        w.step(0.1)
+        found += [
+            (str(b.successor), b.image, b.cpus)
+            for b in c.floor.predictor.bookings
+            if b.successor is not None
+        ]
+    return w, sorted(set(found))
+
+
+def test_room_is_booked_for_a_successor_that_is_submitted() -> None:
+    w, found = predictor_with(("a",), ("a",))
+    assert found == [("wk-c", "other", 6.0)]
+    w.run(10.0)
+    c = w.controller
+    assert c is not None and c.floor.predictor.hits >= 1 and not c.floor.predictor.bookings
+
+
+def test_room_is_returned_when_the_successor_is_cancelled_with_the_job_before_it() -> None:
+    w = World(6)
+    w.submit("wk-a", parcels=2, run_s=6.0, haulS=6.0)
+    w.submit("wk-c", parcels=3, awaits=["wk-a"], kit="other", lot="next")
+    c = w.controller
+    assert c is not None
+    for _ in range(200):
+        w.step(0.1)
+        if any(b.successor for b in c.floor.predictor.bookings):
+            break
+    assert any(b.successor == "wk-c" for b in c.floor.predictor.bookings)
+    w.cancel("wk-a")
+    w.run(1.0)
+    assert not any(b.successor for b in c.floor.predictor.bookings)
+    assert c.floor.predictor.misses == 1
