Limits of the state service may fall: rates followed, sizes kept from the start

`settings.state.next` foretells limits that come without notice after an upgrade.

Sizes: whatever is written keeps to the smaller of both from the start. Sheets are measured; one that is, or would become, too large is closed: never written again, kept until its jobs are over, its parts move as they change. A chunk that alone exceeds the limit is cut anew, finer, once every node has greeted with `takes: ["recut"]`, since the version in production may lead until then and knows no such parts. Of parts cut differently the finest that covers a task counts at a take-over, whatever the versions say: a late copy of the coarse part's write knows less. A record refused for what it is is halved until it fits. Memory takes turns when its records fill more than one transaction. A catalogue that is refused for its size is not sent again and again.

Rates: a 429 that the node's share does not explain lowers them at once here, and by the greetings at the others; after a time that doubles as long as refusals come again the old ones are tried.

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -92,6 +92,7 @@
         self._rented = Steady(-1e9)
         self._summary_due = now
         self._memo_due = Steady(now + tuning.memo_s)
+        self._memo_next = 0  # of the records of memory, the one whose turn it is
 
     # ------------------------------------------------------------------ take-over
 
@@ -299,8 +300,12 @@
             return None
         self._memo_due = Steady(now + self.tuning.memo_s)
         txn = Txn({LEAD_KEY: Revision(self.epoch)})
-        for key, value in list(memory.memos(self.floor).items())[: self.settings.txn_ops]:
-            txn.writes.append(Put(key, value))
+        # There may be more of them than a transaction takes: then they take turns.
+        records = list(memory.memos(self.floor).items())
+        start = self._memo_next % len(records)
+        turn = (records[start:] + records[:start])[: self.settings.txn_ops]
+        self._memo_next = start + len(turn)
+        txn.writes += [Put(key, value) for key, value in turn]
         return txn
 
     @property
--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -2,8 +2,16 @@
 
 A job's tasks are cut into chunks that fit the state service's value limit; a chunk's part holds
 the done tasks as ranges, the placements, and the highest attempt used, from which attempts grow.
+
+A job keeps the chunk size that its record tells. If the value limit falls, a chunk may be too large
+for it: then it is cut anew, finer, and each of these finer chunks says in its part where it begins
+and how many tasks it covers. For any task the finest part that covers it counts. Cutting only goes
+finer, and a finer chunk goes on from the coarse one's highest attempt, so that no attempt is used
+twice. A late copy of a transaction with the coarse part may make that part the newest of all in the
+store; it is older all the same, whatever its version says, and the finer parts prevail.
 """
 
+from bisect import bisect_right
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -64,15 +72,22 @@
 
 @dataclass(slots=True, eq=False)
 class Chunk:
-    number: int
+    low: int  # its first task
+    high: int  # the task after its last
+    cut: bool = False  # finer than the job's record says
     attempt: Attempt = Attempt(0)
     dirty: bool = False
     urgent: bool = False  # holds a placement that waits to be launched
     dirty_since: Steady = Steady(0)
     placements: dict[int, Placement] = field(default_factory=dict)
     sheet: str | None = None  # the key of the record that it is written in, see `sheets`
+    reserved: int = 0  # bytes of that record
     written: tuple[Any, int] | None = None  # as it was written last, and its size in bytes
 
+    @property
+    def tasks(self) -> int:
+        return self.high - self.low
+
 
 class Job:
     """One job. Only the job book changes it."""
@@ -85,7 +100,8 @@
         self.done = bytearray(spec.tasks)
         self.done_count = 0
         self.running = 0
-        self.chunks: dict[int, Chunk] = {}
+        self.chunks: dict[int, Chunk] = {}  # by first task
+        self.cuts: dict[int, list[int]] = {}  # by number of the chunk cut anew: where parts begin
         self.fresh = 0  # the first task never placed
         self.again: list[int] = []  # tasks to place once more
         self.late = False  # set aside: its promises can't be kept any more
@@ -129,18 +145,36 @@
         for chunk in self.chunks.values():
             yield from chunk.placements.values()
 
+    def span(self, number: int) -> tuple[int, int]:
+        """The tasks of a chunk of the size that the job's record tells."""
+        return number * self.size, min((number + 1) * self.size, self.spec.tasks)
+
     def chunk_of(self, index: int) -> Chunk:
         number = index // self.size
-        chunk = self.chunks.get(number)
+        lows = self.cuts.get(number)
+        low, high = self.span(number)
+        if lows is not None:
+            low = lows[bisect_right(lows, index) - 1]
+        chunk = self.chunks.get(low)
         if chunk is None:
-            chunk = self.chunks[number] = Chunk(number)
+            chunk = self.chunks[low] = Chunk(low, high)
         return chunk
 
+    def note_cuts(self, number: int) -> None:
+        """The chunk of this number was cut anew, or found so."""
+        low, high = self.span(number)
+        self.cuts[number] = sorted(c for c in self.chunks if low <= c < high)
+
+    def part(self, chunk: Chunk) -> list[Any]:
+        """As a sheet holds it. With `n`, the second entry is where the part begins; without, the
+        number of a chunk of the job's own size, as all versions know it."""
+        if chunk.cut:
+            return [self.id, chunk.low, self.record(chunk) | {"n": chunk.tasks}]
+        return [self.id, chunk.low // self.size, self.record(chunk)]
+
     def record(self, chunk: Chunk) -> dict[str, Any]:
-        low = chunk.number * self.size
-        high = min(low + self.size, self.spec.tasks)
         ranges: list[list[int]] = []
-        for i in range(low, high):
+        for i in range(chunk.low, chunk.high):
             if self.done[i]:
                 if ranges and ranges[-1][1] == i - 1:
                     ranges[-1][1] = i
@@ -175,8 +209,11 @@
     def remove(self, job: Job) -> None:
         self.jobs.pop(job.id, None)
 
-    def load_chunk(self, job: Job, number: int, value: Any, now: Steady) -> list[Placement]:
-        """Takes over a record of an earlier leader. Its placements may be on their machines."""
+    def load_chunk(
+        self, job: Job, chunk: Chunk, value: Any, now: Steady, whole: bool = True
+    ) -> list[Placement]:
+        """Takes over a record of an earlier leader. Its placements may be on their machines. Unless
+        `whole`, the record covers more tasks than the chunk, which others tell of."""
         try:
             attempt, done = Attempt(int(value["a"])), [(int(a), int(b)) for a, b in value["d"]]
             placed = [(int(i), Attempt(int(a)), MachineId(str(m))) for i, a, m in value["r"]]
@@ -184,9 +221,11 @@
                 raise ValueError(done)
         except (KeyError, TypeError, ValueError) as err:
             raise Malformed(f"place record: {err}") from None
-        chunk = Chunk(number, attempt)
-        job.chunks[number] = chunk
+        chunk.attempt = max(chunk.attempt, attempt)
+        job.chunks[chunk.low] = chunk
         for low, high in done:
+            if not whole:
+                low, high = max(low, chunk.low), min(high, chunk.high - 1)
             for i in range(low, high + 1):
                 if not job.done[i]:
                     job.done[i] = 1
@@ -194,6 +233,8 @@
         job.begun = job.begun or bool(done)
         loaded = []
         for index, attempt, machine in placed:
+            if not whole and not chunk.low <= index < chunk.high:
+                continue
             p = Placement(
                 task_key(job.id, index), job, index, attempt, machine, Phase.WANTED,
                 maybe_there=True,
@@ -204,18 +245,38 @@
 
     def finish_load(self, job: Job) -> None:
         """Once all chunks are there: what is neither done nor placed waits."""
-        job.fresh = 0
-        job.again = []
-        if job.chunks:
-            job.fresh = min(job.spec.tasks, (max(job.chunks) + 1) * job.size)
-        for i in range(job.fresh):
-            if job.done[i]:
-                continue
-            chunk = job.chunks.get(i // job.size)
-            if chunk is None or i not in chunk.placements:
-                job.again.append(i)
+        job.fresh = max((c.high for c in job.chunks.values()), default=0)
+        for number in {c.low // job.size for c in job.chunks.values() if c.cut}:
+            # Between the finer parts there may be tasks that no record tells of: never launched.
+            low, end = job.span(number)
+            inside = [c for c in job.chunks.values() if low <= c.low < end]
+            for chunk in sorted(inside, key=lambda c: c.low):
+                if low < chunk.low:
+                    job.chunks[low] = Chunk(low, chunk.low, cut=True)
+                low = chunk.high
+            if low < end:
+                job.chunks[low] = Chunk(low, end, cut=True)
+            job.note_cuts(number)
+        placed = {i for chunk in job.chunks.values() for i in chunk.placements}
+        job.again = [i for i in range(job.fresh) if not job.done[i] and i not in placed]
         job.again.reverse()
 
+    def recut(self, job: Job, chunk: Chunk, most: int) -> list[Chunk]:
+        """Cuts the chunk into finer ones of at most `most` tasks. All of them wait to be written,
+        since together they take the place of the one that is not written any more."""
+        finer = []
+        for low in range(chunk.low, chunk.high, most):
+            high = min(low + most, chunk.high)
+            held = {i: p for i, p in chunk.placements.items() if low <= i < high}
+            urgent = any(p.phase is Phase.PLANNED for p in held.values())
+            fine = Chunk(
+                low, high, True, chunk.attempt, True, urgent, chunk.dirty_since, held
+            )  # fmt: skip
+            job.chunks[low] = fine
+            finer.append(fine)
+        job.note_cuts(chunk.low // job.size)
+        return finer
+
     def next_tasks(self, job: Job, number: int) -> list[int]:
         taken = []
         while number > 0 and job.again:
--- a/src/eldercart/core/memory.py
+++ b/src/eldercart/core/memory.py
@@ -2,39 +2,84 @@
 images, and how run times compare with estimates. Kept in the state service now and then, in few
 records; nothing rests on it, so it may be old, or lost."""
 
+from collections.abc import Iterator
 from typing import Any
 
+import orjson
+
 from eldercart.core.floor import Floor
 from eldercart.units import MachineId
 
 MEMO = "memo/"
 PACES = MEMO + "paces"
-MACHINE_BYTES = 60  # a machine's name and the numbers of its images, about
+FILL = 0.8  # of a value's size: how the service counts bytes is its own affair
 
 
 def memos(floor: Floor) -> dict[str, Any]:
-    """Records by key."""
-    out: dict[str, Any] = {PACES: floor.predictor.paces()}
-    most = max(10, int(floor.settings.value_bytes * 0.7) // MACHINE_BYTES)
-    machines = [m for m in floor.fleet.machines.values() if m.images]
-    for start in range(0, len(machines), most):
-        names: dict[str, int] = {}
-        sizes: list[float] = []
-        held: dict[str, list[int]] = {}
-        for m in machines[start : start + most]:
-            for image, size in m.images.items():
-                if image not in names:
-                    names[image] = len(names)
-                    sizes.append(size)
-            held[m.id] = [names[image] for image in m.images]
-        out[f"{MEMO}images/{start // most}"] = {"n": list(names), "g": sizes, "m": held}
+    """Records by key, each within the value limit."""
+    most = int(floor.settings.value_bytes * FILL)
+    out: dict[str, Any] = {PACES: {}}
+    for i, paces in enumerate(_paces(floor.predictor.paces(), most)):
+        out[f"{PACES}/{i}" if i else PACES] = paces
+    for i, images in enumerate(_images(floor, most)):
+        out[f"{MEMO}images/{i}"] = images
     return out
 
 
+def _bytes(value: Any) -> int:
+    return len(orjson.dumps(value)) + 1
+
+
+def _paces(paces: dict[str, tuple[float, float]], most: int) -> Iterator[dict[str, Any]]:
+    record: dict[str, Any] = {}
+    size = 2
+    for klass, pace in paces.items():
+        takes = _bytes(klass) + _bytes(pace)
+        if record and size + takes > most:
+            yield record
+            record, size = {}, 2
+        if size + takes <= most:
+            record[klass] = pace
+            size += takes
+    if record:
+        yield record
+
+
+def _images(floor: Floor, most: int) -> Iterator[dict[str, Any]]:
+    """What of a single machine's images does not fit into a record is left out."""
+    empty = 30  # the record without any
+    numbers: dict[str, int] = {}
+    sizes: list[float] = []
+    held: dict[str, list[int]] = {}
+    used = empty
+    for m in floor.fleet.machines.values():
+        if not m.images:
+            continue
+        known = {image: _bytes(image) + _bytes(size) for image, size in m.images.items()}
+        takes = _bytes(m.id) + 3 + 5 * len(known)
+        takes += sum(b for image, b in known.items() if image not in numbers)
+        if held and used + takes > most:
+            yield {"n": list(numbers), "g": sizes, "m": held}
+            numbers, sizes, held, used = {}, [], {}, empty
+        used += _bytes(m.id) + 3
+        held[m.id] = []
+        for image, size in m.images.items():
+            takes = 5 + (0 if image in numbers else known[image])
+            if used + takes > most:
+                continue
+            used += takes
+            if image not in numbers:
+                numbers[image] = len(numbers)
+                sizes.append(size)
+            held[m.id].append(numbers[image])
+    if held:
+        yield {"n": list(numbers), "g": sizes, "m": held}
+
+
 def recall(floor: Floor, key: str, value: Any) -> None:
     """Takes over one record; one that makes no sense is passed over."""
     try:
-        if key == PACES:
+        if key == PACES or key.startswith(PACES + "/"):
             floor.predictor.recall_paces(
                 {str(k): (float(ran), float(est)) for k, (ran, est) in value.items()}
             )
--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -14,6 +14,7 @@
     Job,
     Phase,
     Placement,
+    chunk_size,
     end_of,
 )
 from eldercart.core.sheets import Sheet, Sheets
@@ -68,6 +69,8 @@
         self._most_units = ANY_UNITS  # in one transaction
         self._aside: dict[JobId, Steady] = {}
         self._unsure: set[str] = set()  # keys whose version only a reread can tell
+        self.may_recut = False  # every node reads parts that were cut anew
+        self._part_tasks = chunk_size(floor.settings.value_bytes)
 
     def unwritten(self) -> int:
         """Records with placements that wait to be written."""
@@ -151,7 +154,7 @@
                     continue
                 left = True
                 if c.urgent:
-                    rank = (not job.aged, -job.spec.priority, job.rank, c.number)
+                    rank = (not job.aged, -job.spec.priority, job.rank, c.low)
                     urgent.append((*rank, job, c))
                 elif now - c.dirty_since >= f.tuning.flush_done_s:
                     idle.append((c.dirty_since, job, c))
@@ -164,12 +167,15 @@
         # All of them find their sheets first, so that what is new is on few.
         sheets = {self.sheets.of(job, c).key: None for *_, job, c in urgent}
         sheets |= {self.sheets.of(job, c).key: None for _, job, c in idle}
-        for key in sheets:
-            if not self._add_sheet(pending, self.sheets.sheets[key], ops):
+        keys = list(sheets)
+        for key in keys:  # it grows
+            sheet = self.sheets.sheets[key]
+            if not sheet.closed and not self._add_sheet(pending, sheet, ops, keys):
                 return
 
-    def _add_sheet(self, pending: PendingTxn, sheet: Sheet, ops: int) -> bool:
-        """Returns whether the transaction may take more."""
+    def _add_sheet(self, pending: PendingTxn, sheet: Sheet, ops: int, keys: list[str]) -> bool:
+        """Returns whether the transaction may take more. What has outgrown the sheet goes to
+        others; of them, those not yet among `keys` are added there."""
         txn = pending.txn
         key = sheet.key
         if len(txn.writes) >= ops:
@@ -178,6 +184,8 @@
         if aside or self._held(pending, key, key):
             return True
         record, size = self.sheets.record(sheet)
+        if size > self.sheets.most and self._relieve(sheet, keys):
+            return True
         size += 2 * len(key) + 60
         if pending.size + size > TXN_BYTES:
             return not pending.size
@@ -195,6 +203,27 @@
             pending.chunks.append((job, c, planned, ended))
         return True
 
+    def _relieve(self, sheet: Sheet, keys: list[str]) -> bool:
+        """The record has become too large: what is new on it moves to other sheets, and a part
+        that is too large by itself is cut anew. False: that can't be done yet."""
+        parts = [part for part in sheet.parts.values() if part[1].dirty]
+        if len(sheet.parts) == 1:
+            ((job, c),) = parts
+            if not self.recuts or c.tasks == 1:
+                return False  # as large as it was written before
+            most = min(self._part_tasks, (c.tasks + 1) // 2)
+            parts = [(job, fine) for fine in self.sheets.recut(self.f.jobs, job, c, most, False)]
+        else:
+            self.sheets.close(sheet)
+        moved = [self.sheets.of(job, c).key for job, c in parts]
+        keys.extend(dict.fromkeys(k for k in moved if k not in keys))
+        return True
+
+    @property
+    def recuts(self) -> bool:
+        """Parts cut anew may be written. One that an earlier leader wrote shows it, too."""
+        return self.may_recut or self.sheets.cuts_found
+
     def _add_cleanups(self, pending: PendingTxn, ops: int) -> None:
         txn = pending.txn
         for job in self.cleaning.values():
@@ -278,6 +307,14 @@
         if len(pending.txn.writes) > 2:
             self._most_ops = max(2, len(pending.txn.writes) // 2)
             return
+        if pending.sheets and self.recuts:
+            for job, c in list(pending.sheets[0].parts.values())[:1]:
+                if c.tasks == 1:
+                    break
+                # Its size may be the reason: halved until it fits, each half on its own.
+                self.sheets.recut(self.f.jobs, job, c, (c.tasks + 1) // 2, True)
+                self.f.dirty[job.id] = job
+                return
         if not units:
             self.orphans.clear()  # nobody misses them; a later leader may try again
         for sheet in pending.dropped:
--- a/src/eldercart/net/buckets.py
+++ b/src/eldercart/net/buckets.py
@@ -13,6 +13,15 @@
         self._tokens = self._burst
         self._at = now
 
+    @property
+    def rate(self) -> float:
+        return self._rate
+
+    @property
+    def overdrawn(self) -> bool:
+        """More was taken than this share allows, as of the last taking."""
+        return self._tokens < 0
+
     def set_rate(self, rate: float, burst: float, now: Steady) -> None:
         self._refill(now)
         self._rate = rate
--- a/src/eldercart/net/leading.py
+++ b/src/eldercart/net/leading.py
@@ -146,6 +146,7 @@
             self.node.election.resign(now)
             self.end("hears nobody")
             return
+        c.records.may_recut = self.node.relaying.all_take(peers.RECUT)
         c.tick(now)
         if c.plan_due(now):
             c.plan(now)
@@ -350,7 +351,11 @@
         txn = Txn({LEAD_KEY: Revision(c.epoch)}, [Put(CATALOG_KEY, value)])
 
         def done(status: int | None, revision: Revision, failed: tuple[str, ...]) -> None:
-            if status != 200 and self.controller is c:
+            if status in (400, 413):
+                # Too large, say: to repeat it would use up the changes. This node knows the types,
+                # and the others answer with 503 as long as they don't.
+                log.error("catalogue refused by the state service status=%s", status)
+            elif status != 200 and self.controller is c:
                 node.types = {}
                 c.cloud.catalog_changed = True
 
--- a/src/eldercart/net/relaying.py
+++ b/src/eldercart/net/relaying.py
@@ -63,6 +63,8 @@
         self.peer_heard = Steady(-1e9)  # when any peer was heard last
         self.peer_served = Steady(-1e9)  # when a peer last said that the store serves it
         self.peer_counts: dict[NodeId, tuple[int, Steady]] = {}  # workers at each
+        self._takes: dict[NodeId, tuple[str, ...]] = {}  # by what each peer said last
+        self._falls_told = 0
         self._channels: dict[NodeId, Channel] = {}  # the newest that each peer greeted on
         self._number = 0
         self._held: dict[int, Held] = {}
@@ -79,10 +81,14 @@
     def tick(self, now: Steady) -> None:
         node = self.node
         leader = node.election.leader
+        node.store.follow(now)
+        # That the store's rates have fallen the others should not have to find out, too.
+        news = node.store.fallen.falls != self._falls_told
+        self._falls_told = node.store.fallen.falls
         for link in self.links.values():
             every = GREET_LEADER_S if link.label == leader else GREET_S
             link.check(max(SILENT_LEAST_S, SILENT_GREETINGS * every), now)
-            if link.up and now - link.greeted >= every:
+            if link.up and (news or now - link.greeted >= every):
                 self._greet(link, link.label == leader, now)
         if node.leading.acts:
             contact = now if not self.links else max(node.store.last_ok, self.peer_heard)
@@ -123,6 +129,7 @@
                     node.settings.label, self._number, node.election.epoch,
                     node.store.failing_since is None, self.relay.machines,
                     node.store.short(now) if leads else 0, heard,
+                    peers.TAKES, int(node.store.fallen.left_s(now) * 1000),
                 )
             )
         )  # fmt: skip
@@ -303,16 +310,23 @@
         else:
             raise Malformed("k")
 
-    def _heard_peer(self, epoch: Epoch, store_ok: bool, now: Steady) -> None:
+    def _heard_peer(self, peer: NodeId, g: peers.Greet | peers.Greeted, now: Steady) -> None:
         """What a greeting and its answer tell alike."""
         self.peer_heard = now
-        if store_ok:
+        if g.store_ok:
             self.peer_served = now
-        self.node.saw_epoch(epoch, "a peer knows a higher epoch")
+        self._takes[peer] = g.takes
+        self.node.store.fallen.told(g.low_ms / 1000, now)
+        self.node.store.follow(now)
+        self.node.saw_epoch(g.epoch, "a peer knows a higher epoch")
+
+    def all_take(self, what: str) -> bool:
+        """Whether every node can read it: any may lead next. One never heard counts as old."""
+        return all(what in self._takes.get(m.label, ()) for m in self.node.settings.members)
 
     def _greeted(self, link: Link, g: peers.Greeted, now: Steady) -> None:
         asked = link.asked.pop(g.number, None)
-        self._heard_peer(g.epoch, g.store_ok, now)
+        self._heard_peer(link.label, g, now)
         if g.lent:
             self.node.store.lent(g.lent, now)
         if g.leads and asked is not None:
@@ -354,7 +368,7 @@
         node = self.node
         channel.peer = g.sender
         self._channels[g.sender] = channel
-        self._heard_peer(g.epoch, g.store_ok, now)
+        self._heard_peer(g.sender, g, now)
         self.peer_counts[g.sender] = (g.machines, now)
         acts = node.leading.acts
         if acts:
@@ -365,6 +379,7 @@
                 peers.Greeted(
                     g.number, node.election.epoch, acts, node.store.failing_since is None,
                     share.most, share.spare, node.store.lend(g.short, now) if acts else 0,
+                    peers.TAKES, int(node.store.fallen.left_s(now) * 1000),
                 )
             )
         )  # fmt: skip
--- a/src/eldercart/net/store.py
+++ b/src/eldercart/net/store.py
@@ -1,16 +1,20 @@
 """Calls to the state service, within this node's share of its limits."""
 
+import logging
 from collections.abc import Callable
 from typing import Any
 
 from eldercart.net.buckets import Bucket
 from eldercart.net.client import Answer, HttpClient
+from eldercart.net.fallen import FallenRates
 from eldercart.settings import NodeSettings
 from eldercart.units import LeaseId, Revision, Steady
 from eldercart.wire import Malformed
 from eldercart.wire import state as wire
 from eldercart.wire.state import Item, Txn
 
+log = logging.getLogger("eldercart.node")
+
 # Reserves by urgency, as shares of the burst: renewals take tokens whatever there is; a user waits
 # for an acceptance, and an end can wait for the next token.
 FOR_ACCEPTING, FOR_ENDS, FOR_PLACING, FOR_POLLS = 0.0, 0.1, 0.3, 0.3
@@ -30,16 +34,36 @@
         self.last_ok = now
         self.failing_since: Steady | None = None
         self.refused_at = Steady(-1e9)  # when it last answered that it can't
-        self.set_leader(False)
+        s = settings
+        self.fallen = FallenRates(
+            s.state_rps_next < s.state_rps or s.state_write_rps_next < s.state_write_rps
+        )
+        self._lowered = False
+        self._leader = False
+        self._share_out(now)
 
     def set_leader(self, leader: bool) -> None:
+        self._leader = leader
+        self._share_out(self._clock())
+
+    def follow(self, now: Steady) -> None:
+        """The rates that hold now: they change by a refusal, by a peer's word and by time."""
+        lowered = self.fallen.lowered(now)
+        if lowered != self._lowered:
+            self._lowered = lowered
+            self._share_out(now)
+            log.info("rates of the state service lowered=%s", lowered)
+
+    def _share_out(self, now: Steady) -> None:
         """The leader writes most; the others need enough to accept and to answer."""
-        nodes = self._settings.nodes
-        now = self._clock()
+        nodes, leader, s = self._settings.nodes, self._leader, self._settings
+        rps, write_rps = s.state_rps, s.state_write_rps
+        if self._lowered:
+            rps, write_rps = s.state_rps_next, s.state_write_rps_next
         # Below the limit, and half of its burst: two clocks never agree on where a second ends.
         for bucket, rate, most in (
-            (self.requests, self._settings.state_rps, 0.6),
-            (self.writes, self._settings.state_write_rps, 0.7),
+            (self.requests, rps, 0.6),
+            (self.writes, write_rps, 0.7),
         ):
             share = 1.0 if nodes == 1 else (most if leader else (1.0 - most) / (nodes - 1))
             bucket.set_rate(0.92 * rate * share, max(READY + 1.0, 0.8 * rate * share), now)
@@ -68,6 +92,8 @@
     def _call(
         self, method: bytes, path: str, body: bytes | None, timeout: float, answer: Answer
     ) -> None:
+        within = self._within()
+
         def got(status: int | None, data: bytes) -> None:
             now = self._clock()
             if status is None or status in (429, 503):
@@ -76,8 +102,7 @@
                 if status == 503:
                     self.refused_at = now
                 if status == 429:
-                    self.requests.drain(now)
-                    self.writes.drain(now)
+                    self._refused(now, within)
             else:
                 self.last_ok = now
                 self.failing_since = None
@@ -85,6 +110,17 @@
 
         self._http.request(method, path, body, timeout, got)
 
+    def _within(self) -> bool:
+        """Whether this node has kept within its share, the request now sent included."""
+        return not (self.requests.overdrawn or self.writes.overdrawn)
+
+    def _refused(self, now: Steady, within: bool) -> None:
+        """The limit is reached, whatever the buckets say."""
+        self.requests.drain(now)
+        self.writes.drain(now)
+        self.fallen.refused(now, within)
+        self.follow(now)
+
     def get(self, key: str, done: Callable[[bool, Item | None], None]) -> None:
         """`done(True, item)`, `done(True, None)` for a 404, `done(False, None)` for no answer."""
 
@@ -175,6 +211,8 @@
         done: Callable[[int | None, Revision, list[Any]], None],
     ) -> None:
         def got(status: int | None, data: bytes) -> None:
+            if status == 429:
+                self._refused(self._clock(), within)
             try:
                 if status == 200:
                     revision, events = wire.parse_watch(data)
@@ -185,6 +223,7 @@
             done(status, after, [])
 
         self.requests.force(self._clock())
+        within = self._within()
         path = wire.watch_path(prefix, after, int(wait_s * 1000))
         self._http.request(b"GET", path, None, wait_s + 3.0, got)
 
--- a/src/eldercart/settings/platform.py
+++ b/src/eldercart/settings/platform.py
@@ -55,7 +55,9 @@
     cancel_s: float
     state_rps: float
     state_write_rps: float
-    value_bytes: int
+    state_rps_next: float  # after the fall that comes without notice; never above the present one
+    state_write_rps_next: float
+    value_bytes: int  # the smaller of present and next: what is written has to outlast the fall
     txn_ops: int
     cloud_rps: float
     list_lag_s: float
@@ -101,6 +103,18 @@
         parent, _, name = path.rpartition(".")
         return self.number(path, 0.01) if self.get(parent).get(name) is not None else 1.0
 
+    def lower(self, name: str, least: float, next_least: float) -> tuple[float, float]:
+        """A limit of the state service, and what it falls to: the same unless `next` says less."""
+        now = self.number(f"settings.state.{name}", least)
+        later = self.get("settings.state").get("next")
+        if later is None:
+            return now, now
+        if not isinstance(later, dict):
+            raise BadSettings("settings: settings.state.next: must be an object")
+        if later.get(name) is None:
+            return now, now
+        return now, min(now, self.number(f"settings.state.next.{name}", next_least))
+
     def items(self, path: str) -> range:
         value = self.get(path)
         if not isinstance(value, list) or not all(isinstance(v, dict) for v in value):
@@ -138,6 +152,10 @@
             times = read.text(at + "kind") == "deadline"
             within = read.times(at + "times") if times else read.number(at + "within_s")
             of_kind[klass] = tuple(sorted({*of_kind.get(klass, ()), within}))
+    rps, rps_next = read.lower("rps", 1, 1)
+    write_rps, write_rps_next = read.lower("write_rps", 1, 1)
+    _, value_kb = read.lower("value_kb", 1, 0.5)
+    _, txn_ops = read.lower("txn_ops", 4, 2)  # an end takes two changes
     return NodeSettings(
         label=NodeId(read.text("label")),
         zone=read.text("location"),
@@ -161,10 +179,12 @@
         report_s=read.number("settings.workers.report_s", 0.001),
         lease_s=read.number("settings.workers.lease_s", 0.001),
         cancel_s=read.number("settings.workers.cancel_s", 0.001),
-        state_rps=read.number("settings.state.rps", 1),
-        state_write_rps=read.number("settings.state.write_rps", 1),
-        value_bytes=int(read.number("settings.state.value_kb", 1) * 1024),
-        txn_ops=int(read.number("settings.state.txn_ops", 4)),
+        state_rps=rps,
+        state_write_rps=write_rps,
+        state_rps_next=rps_next,
+        state_write_rps_next=write_rps_next,
+        value_bytes=int(value_kb * 1024),
+        txn_ops=int(txn_ops),
         cloud_rps=read.number("settings.cloud.rps", 0.01),
         list_lag_s=read.number("settings.cloud.list_lag_s"),
         core_share=read.number("settings.machine_limits.core_share"),
--- a/src/eldercart/wire/peers.py
+++ b/src/eldercart/wire/peers.py
@@ -27,6 +27,9 @@
 # … and told by the one that was connected to.
 GREETED, ANSWERS, STATES, CANCELLED, WANT = "greeted", "answers", "states", "cancelled", "want"
 
+RECUT = "recut"  # reads parts of placements that were cut anew
+TAKES = (RECUT,)  # what this version reads that an earlier one does not
+
 UNKNOWN, UNDECIDED, NOT_LEADER = "unknown", "undecided", "not_leader"
 
 
@@ -39,6 +42,9 @@
     machines: int  # workers that report to the sender
     short: int  # tokens for submissions that it lacks
     heard: tuple[tuple[MachineId, ReportOrder], ...]  # answered by the sender itself
+    # Earlier versions know neither: a frame without them means this.
+    takes: tuple[str, ...] = ()
+    low_ms: int = 0  # for which the sender keeps to the store's lower rates, by refusals it met
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +56,8 @@
     most: int  # workers the asker should have at most
     spare: NodeId | None  # where to send those beyond it
     lent: int  # of the leader's tokens for the state service, for submissions
+    takes: tuple[str, ...] = ()  # these two as in a greeting
+    low_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +71,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """A job's state, or UNKNOWN, UNDECIDED, NOT_LEADER."""
+    """A job's state, or RECUT = "recut"  # reads parts of placements that were cut anew
+    TAKES = (RECUT,)  # what this version reads that an earlier one does not
+
+    UNKNOWN, UNDECIDED, NOT_LEADER."""
 
     number: int
     verdict: str
@@ -79,11 +90,22 @@
     return load_answer(data)
 
 
+def _takes(frame: dict[str, Any]) -> tuple[str, ...]:
+    takes = frame.get("takes")
+    return tuple(t for t in takes if isinstance(t, str)) if isinstance(takes, list) else ()
+
+
+def _low(frame: dict[str, Any]) -> int:
+    low = frame.get("low")
+    return low if type(low) is int and low > 0 else 0
+
+
 def greet(g: Greet) -> bytes:
     heard = [[m, o.session, o.sequence] for m, o in g.heard]
     return orjson.dumps(
         {"k": GREET, "from": g.sender, "n": g.number, "epoch": g.epoch, "store": g.store_ok,
-         "machines": g.machines, "short": g.short, "heard": heard}
+         "machines": g.machines, "short": g.short, "heard": heard,
+         "takes": g.takes, "low": g.low_ms}
     )  # fmt: skip
 
 
@@ -98,13 +120,14 @@
     return Greet(
         NodeId(text(frame, "from")), count(frame, "n"), Epoch(count(frame, "epoch")),
         frame.get("store") is True, count(frame, "machines"), count(frame, "short"), orders,
+        _takes(frame), _low(frame),
     )  # fmt: skip
 
 
 def greeted(g: Greeted) -> bytes:
     return orjson.dumps(
         {"k": GREETED, "n": g.number, "epoch": g.epoch, "leads": g.leads, "store": g.store_ok,
-         "most": g.most, "spare": g.spare, "lent": g.lent}
+         "most": g.most, "spare": g.spare, "lent": g.lent, "takes": g.takes, "low": g.low_ms}
     )  # fmt: skip
 
 
@@ -114,6 +137,7 @@
         count(frame, "n"), Epoch(count(frame, "epoch")), frame.get("leads") is True,
         frame.get("store") is True, count(frame, "most"),
         NodeId(spare) if isinstance(spare, str) else None, count(frame, "lent"),
+        _takes(frame), _low(frame),
     )  # fmt: skip
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -25,9 +25,20 @@
         self.holds: dict[int, float] = {}
         self.log: list[tuple[int, dict[str, Any]]] = []
         self.next_hold = 1
+        self.value_bytes = self.txn_ops = 10**9
+        self.too_large = 0  # transactions refused for their size
 
     def txn(self, body: bytes) -> tuple[int, dict[str, Any]]:
         obj = orjson.loads(body)
+        values = [len(orjson.dumps(w["v"])) for w in obj["writes"] if "put" in w]
+        if (
+            len(obj["writes"]) > self.txn_ops
+            or len(obj["guards"]) > 4 * self.txn_ops
+            or len(body) > 64 * 1024
+            or max(values, default=0) > self.value_bytes
+        ):
+            self.too_large += 1
+            return 400, {"error": "too large"}
         failed = [
             g["path"] for g in obj["guards"] if self.keys.get(g["path"], (0, 0, 0))[1] != g["stamp"]
         ]
