--- a/src/eldercart/net/relaying.py
+++ b/src/eldercart/net/relaying.py
@@ -82,6 +82,8 @@
         self.peer_heard = Steady(-1e9)  # when any peer was heard last
         self.peer_served = Steady(-1e9)  # when a peer last said that the store serves it
         self.peer_counts: dict[NodeId, tuple[int, Steady]] = {}  # workers at each
+        self._takes: dict[NodeId, tuple[str, ...]] = {}  # by what each peer said last
+        self._falls_told = 0
         self._channels: dict[NodeId, Channel] = {}  # the newest that each peer greeted on
         self._number = 0
         self._held: dict[int, Held] = {}
@@ -98,12 +100,16 @@
     def tick(self, now: Steady) -> None:
         node = self.node
         leader = node.election.leader
+        node.store.follow(now)
+        # That the store's rates have fallen the others should not have to find out, too.
+        news = node.store.fallen.falls != self._falls_told
+        self._falls_told = node.store.fallen.falls
         for link in self.links.values():
             every = GREET_LEADER_S if link.label == leader else GREET_S
             if node.leading.acts and node.store.failing_since is not None:
                 every = GREET_OUTAGE_S
             link.check(max(SILENT_LEAST_S, SILENT_GREETINGS * every), now)
-            if link.up and now - link.greeted >= every:
+            if link.up and (news or now - link.greeted >= every):
                 self._greet(link, link.label == leader, now)
         if node.leading.acts:
             # Counted from the asking: what a peer said may have waited here while this node slept.
@@ -148,6 +154,7 @@
                     node.settings.label, self._number, node.election.epoch,
                     node.store.failing_since is None, self.relay.machines,
                     node.store.short(now) if leads else 0, heard,
+                    peers.TAKES, int(node.store.fallen.left_s(now) * 1000),
                 )
             )
         )  # fmt: skip
@@ -329,18 +336,25 @@
         else:
             raise Malformed("k")
 
-    def _heard_peer(self, epoch: Epoch, store_ok: bool, now: Steady) -> None:
+    def _heard_peer(self, peer: NodeId, g: peers.Greet | peers.Greeted, now: Steady) -> None:
         """What a greeting and its answer tell alike."""
         self.peer_heard = now
-        if store_ok:
+        if g.store_ok:
             self.peer_served = now
-        self.node.saw_epoch(epoch, "a peer knows a higher epoch")
-        if epoch > self.relay.epoch:
-            self.relay.superseded(epoch, now)
+        self._takes[peer] = g.takes
+        self.node.store.fallen.told(g.low_ms / 1000, now)
+        self.node.store.follow(now)
+        self.node.saw_epoch(g.epoch, "a peer knows a higher epoch")
+        if g.epoch > self.relay.epoch:
+            self.relay.superseded(g.epoch, now)
+
+    def all_take(self, what: str) -> bool:
+        """Whether every node can read it: any may lead next. One never heard counts as old."""
+        return all(what in self._takes.get(m.label, ()) for m in self.node.settings.members)
 
     def _greeted(self, link: Link, g: peers.Greeted, now: Steady) -> None:
         asked = link.asked.pop(g.number, None)
-        self._heard_peer(g.epoch, g.store_ok, now)
+        self._heard_peer(link.label, g, now)
         if asked is not None and g.ready and g.epoch <= self.node.election.epoch:
             link.answered = max(link.answered, asked)
         if g.lent:
@@ -386,7 +400,7 @@
         self._channels[g.sender] = channel
         if g.epoch > self.relay.epoch and g.sender in self.links:
             self.links[g.sender].greeted = Steady(-1e9)  # it may lead: ask it for a grant at once
-        self._heard_peer(g.epoch, g.store_ok, now)
+        self._heard_peer(g.sender, g, now)
         self.peer_counts[g.sender] = (g.machines, now)
         acts = node.leading.acts
         if acts:
@@ -400,6 +414,7 @@
                 peers.Greeted(
                     g.number, node.election.epoch, grants, node.store.failing_since is None,
                     share.most, share.spare, node.store.lend(g.short, now) if acts else 0,
+                    peers.TAKES, int(node.store.fallen.left_s(now) * 1000),
                     node.electing.ready,
                 )
             )
