--- a/tests/relayworld.py
+++ b/tests/relayworld.py
@@ -59,9 +59,13 @@
     def elect(self) -> None:
         if self.relays:
             free = [i for i in range(self.nodes) if i not in {*self.away(), self.leader}]
-            self.leader = self.rng.choice(free)
+            self.leader = self.choose(free)
         super().elect()
 
+    def choose(self, free: list[int]) -> int:
+        """Which of these nodes is elected."""
+        return self.rng.choice(free)
+
     def crash(self, i: int) -> None:
         """The node is back at once, and remembers nothing."""
         self.relays[i] = self.new_relay(i)
--- a/tests/world.py
+++ b/tests/world.py
@@ -87,10 +87,7 @@
         status, answer = self.store.txn(body)
         assert status == 200
         now = Steady(self.now)
-        c = Controller(
-            self.settings, self.tuning, Epoch(answer["ledgerRev"]), cloud.parse_catalog(CATALOG),
-            now, WallTime(self.now), self.life,
-        )  # fmt: skip
+        c = self.new_controller(Epoch(answer["ledgerRev"]))
 
         def items(prefix: str) -> list[state.Item]:
             return [state.parse_item(orjson.dumps(i)) for i in self.store.range(prefix)]
@@ -98,6 +95,12 @@
         c.load(items("job/"), items("place/"), items("gone/"), now, items("memo/"))
         self.controller = c
 
+    def new_controller(self, epoch: Epoch) -> Any:
+        return Controller(
+            self.settings, self.tuning, epoch, cloud.parse_catalog(CATALOG), Steady(self.now),
+            WallTime(self.now), self.life,
+        )  # fmt: skip
+
     def submit(self, job: str, run_s: float = 6.0, **changes: Any) -> None:
         body = submission(job, **changes)
         spec = users.parse_submission(body)
