--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -471,6 +471,15 @@
     assert (repeat.status, repeat.answer["standing"]) == (200, state)
 
 
+def test_a_repeat_at_a_node_that_knows_nothing_tells_the_cancellation() -> None:
+    """The job's record is there without an end, and its user may have been told all the same."""
+    place = Place()
+    last = chain(place, 3)
+    place.ended("wk-root", users.CANCELLED)
+    repeat = place.submit(submission(last, awaits=["wk-000001"]))
+    assert (repeat.status, repeat.answer["standing"]) == (200, "aborted")
+
+
 def test_a_wide_job_is_looked_up_in_few_requests() -> None:
     place = Place()
     for name in names(1000):
