Fallen limits: the design told, the fall of the rates run against a limited service

The finer parts of a chunk all wait to be written, which a mutation showed no test to check. A refused catalogue is sent once.

--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -208,9 +208,10 @@
         that is too large by itself is cut anew. False: that can't be done yet."""
         parts = [part for part in sheet.parts.values() if part[1].dirty]
         if len(sheet.parts) == 1:
-            ((job, c),) = parts
+            ((job, c),) = sheet.parts.values()
             if not self.recuts or c.tasks == 1:
                 return False  # as large as it was written before
+            self.f.dirty[job.id] = job
             most = min(self._part_tasks, (c.tasks + 1) // 2)
             parts = [(job, fine) for fine in self.sheets.recut(self.f.jobs, job, c, most, False)]
         else:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,18 +9,18 @@
 import pytest
 
 from eldercart.core import memory
-from eldercart.core.controller import Outcome
+from eldercart.core.controller import Controller, Outcome
 from eldercart.core.fleet import Life
-from eldercart.core.jobs import JobBook, chunk_size, job_record, parse_job_record
+from eldercart.core.jobs import JobBook, Phase, chunk_size, job_record, parse_job_record
 from eldercart.core.sheets import Sheets
 from eldercart.net.fallen import FIRST_S, MOST_S, FallenRates
 from eldercart.net.node import Node
 from eldercart.net.store import Store
 from eldercart.settings import BadSettings, load_tuning
 from eldercart.settings.platform import NodeSettings, parse_platform
-from eldercart.units import Epoch, JobId, MachineId, NodeId, Revision, Steady
+from eldercart.units import Epoch, JobId, MachineId, NodeId, Revision, Steady, WallTime
 from eldercart.wire import cloud, peers, users
-from eldercart.wire.state import Item, Put
+from eldercart.wire.state import Item, Put, Txn
 from standins import CATALOG
 from world import PLATFORM, World, submission
 
@@ -235,6 +235,68 @@
     assert store.fallen.lowered(clock()) and store.writes.rate < 18
 
 
+class LimitedHttp:
+    """Refuses changes beyond a rate that falls at a given time; bursts of one second's worth."""
+
+    def __init__(self, clock: Clock, rate: float, later: float, at: float) -> None:
+        self.clock, self.rate, self.later, self.at = clock, rate, later, at
+        self.tokens, self.filled = rate, clock.now
+        self.log: list[tuple[float, int, int]] = []  # time, status, changes
+
+    def request(self, method: bytes, path: str, body: Any, timeout: float, answer: Any) -> None:
+        now = self.clock.now
+        rate = self.later if now >= self.at else self.rate
+        self.tokens = min(rate, self.tokens + (now - self.filled) * rate)
+        self.filled = now
+        changes = len(orjson.loads(body)["writes"])
+        status = 200 if self.tokens >= changes else 429
+        self.tokens -= changes if status == 200 else 0
+        self.log.append((now, status, changes))
+        answer(status, b'{"ledgerRev":1}')
+
+
+@pytest.mark.parametrize("nodes", [1, 5])
+@pytest.mark.parametrize("falls", [True, False])
+def test_all_nodes_follow_the_fall_without_a_spell_of_refusals(nodes: int, falls: bool) -> None:
+    """Every node writes all that it may, the worst there is: a refusal or a few at the fall, and
+    at each try of the old rates, which become rare; and in no five seconds much less is done than
+    the lower rates allow. Without a fall the old rates hold nearly all of the time."""
+    all_, clock, _ = stores(nodes, NEXT)
+    began = clock.now
+    service = LimitedHttp(clock, 25, 18, began + 30 if falls else 1e12)
+    for store in all_:
+        store._http = service  # type: ignore[assignment]
+        store.writes.drain(clock())  # no burst of all at the start
+    rng = random.Random(nodes)
+    low = 0.0
+    while clock.now < began + 600:
+        clock.now += 0.05
+        for i, store in enumerate(all_):
+            store.follow(clock())
+            most = min(store.writes.available(clock()), 6 if i == 0 else 1)
+            if most > 0 and rng.random() < 0.8 and store.requests.take(clock()):
+                store.writes.force(clock(), most)
+                txn = Txn({}, [Put("k", 1)] * most)
+                store.txn(txn, lambda status, revision, failed: None)
+            low += 0.05 / nodes if store.fallen.lowered(clock()) else 0
+        if rng.random() < 0.1:
+            for store in all_:
+                for peer in all_:
+                    store.fallen.told(peer.fallen.left_s(clock()), clock())
+    refused = [t - began for t, status, _ in service.log if status == 429]
+    if not falls:
+        assert len(refused) < 5 and low < 100, (refused, low)
+        return
+    assert 0 < len(refused) < 25 and low > 480, (refused, low)
+    # In the last minutes the tries have become rare.
+    assert len([t for t in refused if t > 400]) < 6, refused
+    for start in range(0, 595):
+        window = [
+            n for t, status, n in service.log if status == 200 and start <= t - began < start + 5
+        ]
+        assert sum(window) > 5 * 18 * 0.92 * 0.6, (start, sum(window))
+
+
 # -- greetings
 
 
@@ -418,6 +480,25 @@
             assert chunk.low <= index < chunk.high
 
 
+def test_all_finer_chunks_wait_to_be_written() -> None:
+    """Together they take the place of the coarse one: what it had not told yet must not be lost."""
+    jobs, job = book(25, 10)
+    for index in jobs.next_tasks(job, 8):
+        jobs.place(job, index, MachineId("n-1"), Steady(1))
+    for p in job.placements():
+        p.phase = Phase.RUNNING if p.index < 5 else Phase.PLANNED
+    finer = jobs.recut(job, job.chunks[0], 3)
+    assert [(c.low, c.high, c.attempt, c.dirty, c.urgent, sorted(c.placements)) for c in finer] == [
+        (0, 3, 8, True, False, [0, 1, 2]),
+        (3, 6, 8, True, True, [3, 4, 5]),
+        (6, 9, 8, True, True, [6, 7]),
+        (9, 10, 8, True, False, []),
+    ]
+    assert [job.chunk_of(i).low for i in (0, 2, 3, 8, 9)] == [0, 0, 3, 6, 9]
+    check_whole(job)
+    assert job.part(finer[3]) == [JOB, 9, {"a": 8, "d": [], "r": [], "n": 1}]
+
+
 @pytest.mark.parametrize("seed", range(30))
 def test_cutting_loses_no_task_and_places_none_twice(seed: int) -> None:
     """Any order of placing, finishing, dropping, cutting, writing some of the sheets, and taking
@@ -563,6 +644,29 @@
         assert after.fleet.machines[m.id].images == m.images
 
 
+@pytest.mark.parametrize(("status", "writes"), [(400, 1), (413, 1), (503, 5), (None, 5), (200, 1)])
+def test_refused_catalogue_is_not_sent_for_ever(status: int | None, writes: int) -> None:
+    """Too large after the fall, it would use up the changes. What was not done is repeated."""
+    node = Node(settings_of(NEXT), load_tuning())
+    sent: list[Any] = []
+
+    class Refusing:
+        def request(self, method: bytes, path: str, body: Any, timeout: float, answer: Any) -> None:
+            sent.append(orjson.loads(body))
+            answer(status, b'{"ledgerRev":1}')
+
+    node.store._http = Refusing()  # type: ignore[assignment]
+    now = node.clock()
+    c = Controller(node.settings, node.tuning, Epoch(5), cloud.parse_catalog(CATALOG), now,
+                   WallTime(0.0))  # fmt: skip
+    node.leading.controller = c
+    c.cloud.catalog_changed = True
+    for _ in range(5):
+        if c.cloud.catalog_changed:
+            node.leading._store_types(c)
+    assert len(sent) == writes and node.types == (c.floor.types if writes == 1 else {})
+
+
 # -- runs
 
 
