Two troubles at once: guards named and proven one by one, table in the design

Each line was taken out in a scratch copy, the test seen to fail, and the line put back: - records.next_txn `f.outage = False`: last_write_without_an_answer_stops_nothing - records `"t": at` in gone/, machines `now > p.job.kill_due`, floor's min with KILL_LAST, controller.load `p.stopping = ...`: cancelled_on_a_hanging_machine_while_leaders_change - floor.want `Life.LEAVING`, machines.watch `self.f.want(m)`: machine_that_goes_on_while_its_deletion_waits - cloudwork `doomed.sort`: cancelled_tasks_are_deleted_first; `if status == 200` of a deletion: tasks_stay_where_a_deletion_was_asked_for - Job.avoids' time, planner._use_what_is_kept_in_vain, `_full` apart for what is kept, machines' QUARANTINE_S: nobody_waits_beside_room - rental `if soon`, cloudwork `bound_to`: room_is_rented_in_the_zone...; placement's zone filter, spread's limit, UNKNOWN_ZONE with in_zones: jobs_bound_to_a_zone_lose_machines - machines.heard's max, old epochs renewing no hearing (with the deaf sign; the sign alone may go): take_over_while_machines_are_out_of_reach; `m.shown > m.last_heard`: workers_that_reach_no_node - relay `holds_grant`: zone_cut_off_with_a_controller - election's drop of an old hold; `mine and held` (both out; each alone is enough): node_back_within_a_second_and_its_old_claim - sheet version guard: transactions_carried_out_late - controller.cancel `not job.complete`, status `end_sent`: requests_meet_the_end; front's `_finals` at the answer: repeated_submission_meets_the_end - epoch's `return []`, `r.order <= m.order`: report_held_back_until_a_new_leader_acted; order and attempt: old_report_after_newer_ones - clear only once durable: tasks_end_far_apart_across_changes_of_leader - the repeated launch: commands_held_up_for_seconds - `maybe_there=True` of a loaded placement: team_at_its_limit_when_the_leader_changes

Safe by several guards, no single line breaks the test: cancellations on workers that reach no node (lease, silence, overdue kill), all controllers away for a lease (newer reports, epoch, grace), the END guard of an end carried out late (its sheet, its reread, and that an end's kind is settled before it is sent). Three meetings stay marked as gaps in the table.

--- a/src/eldercart/core/cloudwork.py
+++ b/src/eldercart/core/cloudwork.py
@@ -164,7 +164,7 @@
             self._pause = Steady(now + 1.0)
         match call:
             case Delete(machines):
-                if status == 200:
+                if status == 200:  # nothing else frees a place there, however long it takes
                     for machine in machines:
                         self._deleted(machine, now)
                 self._busy.discard("delete")
--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -194,6 +194,7 @@
         if job.ended is not None:
             return job.ended
         if not job.cancelled and not job.complete:
+            # Of a complete one the end is on its way, and it may be durable already: `done`.
             self.floor.cancelled(job, now, now)
             self.floor.ending[job_id] = job
             self.floor.stop_all(job, now)
--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -206,7 +206,7 @@
         for index, attempt, machine in placed:
             p = Placement(
                 task_key(job.id, index), job, index, attempt, machine, Phase.WANTED,
-                maybe_there=True,
+                maybe_there=True,  # whoever wrote it may have launched it
             )  # fmt: skip
             chunk.placements[index] = p
             loaded.append(p)
--- a/src/eldercart/core/machines.py
+++ b/src/eldercart/core/machines.py
@@ -148,7 +148,7 @@
             if state == workers.EXITED:
                 obeyed = True
                 self._exited(m, p, why, now)
-                if key not in placed:
+                if key not in placed:  # not of a done one: until it is durable, this is the record
                     calls.append(workers.Clear(key, attempt))
                 continue
             if not p.reported:
--- a/src/eldercart/core/placement.py
+++ b/src/eldercart/core/placement.py
@@ -197,6 +197,7 @@
             for _, _, m, n in candidates:
                 capacity[m.zone] = capacity.get(m.zone, 0) + n
             only = max(capacity, key=lambda z: (min(capacity[z], wanted), z))
+        # Whatever may still run counts, also where its machine is given up: it may go on.
         candidates = [c for c in candidates if c[2].zone == only]
     if spec.spread:
         zone_limit = (spec.tasks + 1) // 2
--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -186,7 +186,7 @@
         if pending.size + size > TXN_BYTES:
             return not pending.size
         pending.size += size
-        txn.guards[key] = sheet.version
+        txn.guards[key] = sheet.version  # a copy that comes late finds another one
         txn.writes.append(Put(key, record))
         pending.sheets.append(sheet)
         pending.units.add(key)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -11,7 +11,6 @@
 from eldercart.core.controller import Delete, JobStatus, Outcome, PendingTxn, Verdict
 from eldercart.core.fleet import Life
 from eldercart.core.jobs import Phase
-from eldercart.core.machines import QUARANTINE_S
 from eldercart.election import Claim, DropHold, Election, OpenHold, ReadLead, Role
 from eldercart.net.front import Front
 from eldercart.units import JobId, LeaseId, LifeId, MachineId, NodeId, Revision, Steady
@@ -80,7 +79,7 @@
 # -- leaders change again and again
 
 
-@pytest.mark.parametrize("every", [4.0, 9.0, 12.0, 17.0])
+@pytest.mark.parametrize("every", [2.0, 4.0, 9.0, 12.0, 17.0])
 @pytest.mark.parametrize("recorded", [True, False])
 def test_cancelled_on_a_hanging_machine_while_leaders_change(every: float, recorded: bool) -> None:
     """Each leader counted the time for the kill from its own take-over, so while they changed
@@ -587,30 +586,42 @@
     assert set(w.told.values()) == {"done"}
 
 
-@pytest.mark.parametrize("how", ["held for a larger one", "kept", "avoided", "quarantine"])
-def test_nobody_waits_beside_room(how: str) -> None:
-    """Room that is kept for others in vain, that the job itself avoids, or that a machine in
-    quarantine has while long tasks keep it from being replaced."""
+@pytest.mark.parametrize(
+    ("how", "within"),
+    [
+        ("a larger one waits", 70.0), ("kept", 70.0), ("kept from its like", 20.0),
+        ("avoided", 70.0), ("quarantine", 110.0),
+    ],
+)  # fmt: skip
+def test_nobody_waits_beside_room(how: str, within: float) -> None:
+    """Room that is kept for others in vain (but not from one that lost work to the cloud, `kept
+    from its like`), that the job itself avoids, or that a machine in quarantine has while long
+    tasks keep it from being replaced."""
     w = World(52, capacity=1)
-    w.submit(ONE, run_s=500.0, parcels=1, cpus=5.0, loaners=how != "kept", breeds=["small"])
+    w.submit(ONE, run_s=500.0, parcels=1, cpus=5.0, loaners=how[:4] != "kept", breeds=["small"])
     w.run(16)
     c = leader(w)
     (m,) = [m for m in c.fleet.machines.values() if m.life is Life.UP]
-    assert m.live == 1 and (how != "kept" or not m.spot)
-    if how == "held for a larger one":
+    assert m.live == 1 and (how[:4] != "kept" or not m.spot)
+    if how == "a larger one waits":
         w.submit("wk-000009", run_s=5.0, parcels=4, cpus=4.0, urgency="urgent", loaners=False)
         w.submit("wk-000008", run_s=5.0, parcels=4, cpus=5.0, breeds=["small"])
-    elif how == "kept":
+    elif how[:4] == "kept":
         w.submit("wk-000009", run_s=5.0, parcels=1, cpus=6.0, loaners=False, breeds=["small"])
+        w.run(2)  # until it is asked for
     elif how == "quarantine":
         c.floor.quarantine(m, "slow", Steady(w.now))
-    w.submit(TWO, run_s=5.0, parcels=1, cpus=2.0, urgency="idle", breeds=["small"])
+    # More than is written ahead of room, which would pass by what is kept.
+    mine = {"run_s": 5.0, "parcels": 1, "cpus": 3.0, "urgency": "idle", "breeds": ["small"]}
+    if how == "kept from its like":
+        w.submit("wk-000000", **mine)
+    w.submit(TWO, **mine)
+    c.jobs.jobs[TWO].shy = how == "kept from its like"
     if how == "avoided":
         c.jobs.jobs[TWO].avoid(m.id, Steady(w.now))
     w.left_waiting_s = WAIT_S
-    w.run(WAIT_S + 25.0)
+    w.run(within)
     assert w.starts[f"{TWO}/0"] == 1
-    assert QUARANTINE_S < WAIT_S / 2 + 1
 
 
 # -- tasks that end far apart
@@ -662,8 +673,8 @@
     assert {j for j, how in w.told.items() if how == "aborted"} == {"wk-000090", "wk-000091"}
 
 
-@pytest.mark.parametrize("cancel_at", [4.0, 9.0])
-def test_machine_that_goes_on_while_its_deletion_waits(cancel_at: float) -> None:
+@pytest.mark.parametrize(("cancel_at", "word_lost"), [(4.0, False), (9.0, False), (9.0, True)])
+def test_machine_that_goes_on_while_its_deletion_waits(cancel_at: float, word_lost: bool) -> None:
     """It hung for a while and was given up; the cloud is out, so it stays. Its relay sees nothing
     new in its reports: unless it is told that the leader wants them, no kill ever goes out."""
     w = RelayWorld(54, capacity=3)
@@ -679,9 +690,30 @@
         assert all(c.fleet.machines[MachineId(m.id)].life is Life.LEAVING for m in hung)
         w.run(4)
     w.cancel(ONE)
+    if word_lost:
+        w.faults["mesh_lost"] = 1.0
+        w.run(3)
+        w.faults["mesh_lost"] = 0.0
     gone_within_cancel_s(w)
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_tasks_stay_where_a_deletion_was_asked_for(seed: int) -> None:
+    """The machine hung and goes on before the cloud has answered; there is room elsewhere."""
+    w = RelayWorld(seed, capacity=6)
+    w.submit(ONE, run_s=60.0, parcels=8)
+    w.submit(TWO, run_s=2.0, parcels=12)
+    while TWO not in w.told:
+        w.step(0.1)
+    (hung, *_) = [m for m in busy(w) if any(k.startswith(ONE) for k in m.on())]
+    w.cloud_down_until = w.now + 25.0
+    hung.hangs_until = w.now + 8.5
+    w.run(8)
+    assert leader(w).fleet.machines[MachineId(hung.id)].life is Life.LEAVING and hung.on()
+    finish(w)
+    assert w.told == {ONE: "done", TWO: "done"}
+
+
 def test_cancelled_tasks_are_deleted_first() -> None:
     """A zone's machines are given up at once, more than a request takes."""
     w = World(55, capacity=1)
