--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -209,6 +209,7 @@
         if job.orphaned:
             return users.CANCELLED  # the end of the job before it is durable
         if not job.cancelled and not job.complete:
+            # Of a complete one the end is on its way, and it may be durable already: `done`.
             self.floor.cancelled(job, now, now)
             self.floor.ending[job_id] = job
             self.floor.stop_all(job, now)
