--- a/src/eldercart/__init__.py
+++ b/src/eldercart/__init__.py
@@ -1,3 +1,3 @@
 """eldercart: a cluster scheduler."""
 
-__version__ = "0.3.0"
+__version__ = "0.4.0"
