Machines that wait for their deletion are told directly, too; grants end two seconds after a higher epoch

With the cloud out as well, a machine given up may go on being answered for an earlier leader. Two seconds instead of one on the word of a higher epoch: a take-over with little processor may take longer than one, and every worker would look for another node meanwhile; the bound on cancel_s holds without it.

Taken out to see the test fail: LEAVING in take_orders; the repeated order in watch.

--- a/src/eldercart/core/machines.py
+++ b/src/eldercart/core/machines.py
@@ -364,7 +364,7 @@
             if len(out) >= left:
                 break
             m = self.f.fleet.get(machine)
-            if m is None or m.life is not Life.UP:
+            if m is None or m.life not in (Life.UP, Life.LEAVING):
                 del waiting[machine]
                 continue
             if not m.address or now - m.ordered < ORDER_S:
@@ -387,7 +387,7 @@
         """The worker's report after a direct command, or instead of it (another session)."""
         f = self.f
         m = f.fleet.get(r.machine)
-        if m is None or m.life is not Life.UP:
+        if m is None:
             return
         m.shown = now
         rose = r.order.session > max(m.session, m.order.session, Session(1))
@@ -437,6 +437,7 @@
             if m.life is Life.LEAVING:
                 if tasks and any(p.stopping for p in m.placed.values()):
                     self.f.want(m)  # until the cloud has answered it may well hear
+                    self.f.orders[m.id] = None
                 continue
             if m.taken_at is not None:
                 self._drain(m, m.taken_at, now)
--- a/src/eldercart/core/relay.py
+++ b/src/eldercart/core/relay.py
@@ -14,7 +14,7 @@
 from eldercart.units import Epoch, MachineId, NodeId, ReportOrder, Steady
 
 SLACK_S = 1.0  # for answers under way when a leader stops granting
-SUPERSEDED_S = 1.0  # for which a grant outlives the word of a higher epoch
+SUPERSEDED_S = 2.0  # for which a grant outlives the word of a higher epoch
 FORGET_S = 90.0  # after which a machine that reports elsewhere, or nowhere, is forgotten
 BOUNCE_S = 8.0  # a worker that was sent on and is back within this is kept
 SPARE_ROOM = 1.25  # times the fair share of workers before new ones are sent on
