--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -323,3 +323,94 @@
     w.run(1.0)
     assert not any(b.successor for b in c.floor.predictor.bookings)
     assert c.floor.predictor.misses == 1
+
+
+def until_last_task(w: World, job: str) -> None:
+    """Steps until all tasks of the job but one have ended on their machines."""
+    c = w.controller
+    assert c is not None
+    for _ in range(600):
+        w.step(0.1)
+        book = c.jobs.get(JobId(job))
+        if book is None or book.done_count >= book.spec.tasks - 1:
+            return
+    raise AssertionError("never came to its last task")
+
+
+@pytest.mark.parametrize("later", [0, 1, 2, 4, 8, 12, 20, 30])
+@pytest.mark.parametrize("faults", [{}, {"txn_lost": 0.4, "txn_twice": 0.3}], ids=["", "lossy"])
+def test_cancellation_meets_the_end_of_the_upstreams_last_task(
+    faults: dict[str, Any], later: int
+) -> None:
+    """Whichever comes first in the store holds, for the job and for all after it."""
+    w = World(9, **faults)
+    w.submit("wk-a", parcels=3, run_s=4.0)
+    w.submit("wk-b", parcels=2, awaits=["wk-a"], run_s=2.0)
+    w.submit("wk-c", parcels=2, awaits=["wk-b"], run_s=2.0)
+    until_last_task(w, "wk-a")
+    for _ in range(later):
+        w.step(0.1)
+        w.poll_all()
+    w.cancel("wk-a")
+    for _ in range(100):
+        w.step(0.1)
+        w.poll_all()
+    finish(w)
+    w.poll_all()
+    how = w.end_in_store("wk-a")
+    assert how == w.end_in_store("wk-b") == w.end_in_store("wk-c")
+
+
+@pytest.mark.parametrize("outage", [False, True], ids=["", "store away afterwards"])
+@pytest.mark.parametrize("steps", range(6))
+def test_cancellation_meets_the_submission_of_a_descendant(steps: int, outage: bool) -> None:
+    """Accepted all the same, cancelled with the job that it names, whichever is written first."""
+    w = World(10)
+    w.submit("wk-a", parcels=3, run_s=30.0)
+    w.submit("wk-b", parcels=2, awaits=["wk-a"], run_s=2.0)
+    w.run(15.0)
+    w.cancel("wk-a")
+    for _ in range(steps):
+        w.step(0.1)
+        w.poll_all()
+    w.submit("wk-late", parcels=2, awaits=["wk-b"], run_s=2.0)
+    if outage:
+        w.run(0.2)
+        w.outage_until = w.now + 45.0
+    for _ in range(20):
+        w.step(0.1)
+        w.poll_all()
+    c = w.controller
+    assert c is not None and w.end_in_store("wk-a") == users.CANCELLED
+    for job in ("wk-b", "wk-late"):
+        status = c.status(JobId(job))
+        ended = w.end_in_store(job) == users.CANCELLED
+        assert ended or status.state == users.CANCELLED  # type: ignore[union-attr]
+    w.run(30.0)
+    w.poll_all()
+    finish(w)
+
+
+@pytest.mark.parametrize("after", [0, 1, 2, 3, 5])
+def test_leader_changes_between_the_first_end_and_the_last(after: int) -> None:
+    """A wide fan-out takes many transactions; what was told holds under every leader."""
+    w = World(11)
+    w.submit("wk-a", parcels=1, run_s=60.0)
+    for i in range(40):
+        w.submit(f"wk-m{i}", parcels=1, awaits=["wk-a"], run_s=1.0)
+    w.submit("wk-z", parcels=1, awaits=[f"wk-m{i}" for i in range(40)], run_s=1.0)
+    w.run(10.0)
+    w.cancel("wk-a")
+    while w.end_in_store("wk-a") is None:
+        w.step(0.1)
+    w.poll_all()
+    for _ in range(after):
+        w.step(0.1)
+        w.poll_all()
+    w.elect()
+    w.poll_all()
+    for _ in range(40):
+        w.step(0.1)
+        w.poll_all()
+    finish(w)
+    assert {w.end_in_store(job) for job in w.jobs} == {users.CANCELLED}
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -1,16 +1,24 @@
 """The leader alone loses the state service, another one confirms cancellations, and then nobody
 has it for longer than the workers may take to be rid of the tasks."""
 
+from types import SimpleNamespace
+from typing import Any
+
+import orjson
 import pytest
 
 from eldercart.core.controller import Controller
 from eldercart.core.jobs import Phase
 from eldercart.core.relay import Relay, contact, spare_s
+from eldercart.net.relaying import Relaying
+from eldercart.settings import load_tuning
+from eldercart.settings.platform import parse_platform
 from eldercart.units import Epoch, MachineId, NodeId, Steady
+from eldercart.wire import peers, workers
 from relayworld import RelayWorld
 from standins import WorkerSim
 from test_core import finish
-from world import World
+from world import PLATFORM, World
 
 HOLD = (100.0, 102.0)  # when the last renewal was sent, and until when it holds
 
@@ -176,8 +184,6 @@
 
 
 def report_of(m: WorkerSim, **changes: object) -> object:
-    from eldercart.wire import workers
-
     return workers.parse_report(m.report() | changes)
 
 
@@ -218,3 +224,144 @@
     # The same once more is not a new session: no loop of questions and answers.
     a.c.ordered(report_of(a.machine, stint=4), False, now, now)  # type: ignore[arg-type]
     assert a.c.take_orders(Steady(now + 0.7)) == []
+
+
+class Here:
+    """The relaying part of a node with two peers, without sockets."""
+
+    def __init__(self) -> None:
+        platform = PLATFORM | {
+            "members": [
+                {"label": f"drover-{i}", "location": "a", "endpoint": f"127.0.0.1:{i}"}
+                for i in (1, 2)
+            ]
+        }
+        self.now = 100.0
+        self.sent: list[dict[str, Any]] = []
+        self.seen: list[int] = []
+        settings = parse_platform(platform)
+        tuning = load_tuning()
+        election = SimpleNamespace(epoch=5, leader="drover-0", hold_seen=99.0, hold_until=101.0)
+        store = SimpleNamespace(
+            failing_since=None, lend=lambda n, now: 0, lent=lambda n, now: None,
+            fallen=SimpleNamespace(told=lambda s, now: None, left_s=lambda now: 0.0, falls=0),
+            follow=lambda now: None, last_ok=99.0, short=lambda now: 0,
+        )  # fmt: skip
+        self.leading = SimpleNamespace(acts=True, heard=lambda *a: None)
+        self.electing = SimpleNamespace(ready=True)
+        node = SimpleNamespace(
+            settings=settings, tuning=tuning, clock=lambda: self.now, election=election,
+            store=store, leading=self.leading, electing=self.electing,
+            saw_epoch=lambda epoch, how: self.seen.append(epoch),
+        )  # fmt: skip
+        self.node = node
+        self.r = Relaying(node)  # type: ignore[arg-type]
+
+    def tick(self, at: float) -> None:
+        self.now = at
+        self.r.tick(Steady(at))
+
+    def greeted(self, peer: str, asked: float, at: float, **changes: Any) -> None:
+        """The peer's answer to the greeting sent at `asked`."""
+        link = self.r.links[NodeId(peer)]
+        link.asked[7] = Steady(asked)
+        self.now = at
+        values = {"epoch": Epoch(5), "leads": False, "ready": True} | changes
+        g = peers.Greeted(
+            7, values["epoch"], values["leads"], False, 0, None, 0, ready=values["ready"]
+        )
+        self.r._told(link, peers.parse(peers.greeted(g)))
+
+    def grants(self, at: float) -> bool:
+        """Whether a relay that asks now is granted anything."""
+        self.now = at
+        channel = SimpleNamespace(peer=None, send=lambda data: self.sent.append(peers.parse(data)))
+        g = peers.Greet(NodeId("drover-2"), 1, Epoch(5), False, 0, 0, ())
+        self.r._asked(channel, peers.parse(peers.greet(g)))  # type: ignore[arg-type]
+        return bool(self.sent[-1]["leads"])
+
+
+@pytest.mark.parametrize(
+    ("name", "answers", "until"),
+    [
+        # A grant is 4 s here (0.4 of a lease of 10 s, less the drift), spare 30 s of `cancel_s`
+        # less a lease, two grants and a second, less the drift: 10.2 s after the end of the hold at 101.
+        ("nobody is heard", [], 103.0),
+        ("every node is heard all the time", ["drover-1", "drover-2"], 150.0),
+        ("one of two is heard all the time", ["drover-1"], 115.12),
+    ],
+)
+def test_a_leader_that_the_store_refuses_grants_for_so_long(
+    name: str, answers: list[str], until: float
+) -> None:
+    here = Here()
+    here.node.store.failing_since = Steady(100.0)
+    last = 0.0
+    for tenths in range(1000, 1500):
+        at = tenths / 10
+        for peer in answers:
+            here.greeted(peer, at - 0.1, at)
+        here.tick(at)
+        if here.grants(at):
+            last = at
+    assert until - 1.0 <= last <= until, name
+
+
+@pytest.mark.parametrize(
+    ("name", "changes", "holds"),
+    [
+        ("vouches", {}, True),
+        ("has not read the leader key since its start", {"ready": False}, False),
+    ],
+)
+def test_who_vouches_that_nobody_else_leads(
+    name: str, changes: dict[str, Any], holds: bool
+) -> None:
+    here = Here()
+    here.node.store.failing_since = Steady(100.0)
+    for tenths in range(1000, 1400):
+        at = tenths / 10
+        here.greeted("drover-1", at - 0.1, at)
+        here.greeted("drover-2", at - 0.1, at, **changes)
+        here.tick(at)
+    assert here.grants(140.0) is holds, name
+
+
+def test_an_answer_that_waited_while_this_node_slept_proves_nothing() -> None:
+    here = Here()
+    here.node.store.failing_since = Steady(100.0)
+    here.greeted("drover-1", 100.0, 130.0)
+    here.greeted("drover-2", 100.0, 130.0)
+    here.tick(130.0)
+    assert not here.grants(130.0)
+
+
+def test_the_word_of_a_higher_epoch_ends_the_grant_and_asks_for_another() -> None:
+    here = Here()
+    here.leading.acts = False
+    here.r.relay.granted(Epoch(5), NodeId("drover-1"), Steady(100.0), Steady(100.0))
+    link = here.r.links[NodeId("drover-2")]
+    link.greeted = Steady(100.0)
+    here.now = 100.5
+    channel = SimpleNamespace(peer=None, send=lambda data: None)
+    g = peers.Greet(NodeId("drover-2"), 1, Epoch(9), False, 0, 0, ())
+    here.r._asked(channel, peers.parse(peers.greet(g)))  # type: ignore[arg-type]
+    assert here.seen == [9] and link.greeted < 0, "asked at once"
+    assert here.r.relay.holds_grant(Steady(102.4)) and not here.r.relay.holds_grant(Steady(102.6))
+
+
+def test_settings_that_leave_no_time_are_said_at_the_start(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    short = spare_s(18.0, 10.0, 4.0, 0.02)
+    assert short < 0
+    with caplog.at_level("WARNING"):
+        Here()
+    assert not caplog.records
+    platform = orjson.loads(orjson.dumps(PLATFORM))
+    platform["settings"]["workers"]["cancel_s"] = 18.0
+    settings, here = parse_platform(platform), Here()
+    here.node.settings = settings
+    with caplog.at_level("WARNING"):
+        Relaying(here.node)  # type: ignore[arg-type]
+    assert "cancel_s=18 leaves nothing" in caplog.text
