--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -285,7 +285,7 @@
     ("name", "answers", "until"),
     [
         # A grant is 4 s here (0.4 of a lease of 10 s, less the drift), spare 30 s of `cancel_s`
-        # less a lease, two grants and a second, less the drift: 10.2 s after the end of the hold at 101.
+        # less a lease, two grants and a second, less the drift: 10.2 s after the hold ends at 101.
         ("nobody is heard", [], 103.0),
         ("every node is heard all the time", ["drover-1", "drover-2"], 150.0),
         ("one of two is heard all the time", ["drover-1"], 115.12),
