Ends of jobs cancelled with another wait behind placements

Found in reading: the ends of a wide fan-out came before all placements, and thousands of them take minutes to write, in which nothing that is ready would start. They are told already, by the end of the job before them. The test fails with them among the other ends.

--- a/src/eldercart/core/floor.py
+++ b/src/eldercart/core/floor.py
@@ -45,6 +45,7 @@
         self.rental_due = now
         self.dirty: dict[JobId, Job] = {}
         self.ending: dict[JobId, Job] = {}  # complete or cancelled, end not yet durable
+        self.orphaned: dict[JobId, Job] = {}  # cancelled with a job before them, end not written
         self.doomed: dict[MachineId, None] = {}
         self.orders: dict[MachineId, None] = {}  # machines to be told directly what to kill
         self.finished: list[tuple[JobId, str]] = []  # newly durable ends, for waiting answers
@@ -83,7 +84,8 @@
                 log.info("job orphaned job=%s", job.id)
                 self.cancelled(job, now, now)
                 self.predictor.returned(job.id)
-                self.ending[job.id] = job
+                if job.id not in self.ending:
+                    self.orphaned[job.id] = job
                 self.stop_all(job, now)
                 self.finished.append((job.id, CANCELLED))
 
--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -89,7 +89,14 @@
         if self._txn is not None or ops < 1 or now < self._pause:
             return None
         f = self.f
-        if not (f.ending or f.dirty or self.cleaning or self.orphans or self.sheets.empties()):
+        if not (
+            f.ending
+            or f.orphaned
+            or f.dirty
+            or self.cleaning
+            or self.orphans
+            or self.sheets.empties()
+        ):
             # The last write had no answer and yet nothing is left of it: only a new one can tell
             # whether the store is back, and only a pass of placing makes one.
             f.outage = False
@@ -98,8 +105,11 @@
             self._aside = {job: until for job, until in self._aside.items() if until > now}
         ops = min(ops, self._most_ops)
         pending = PendingTxn(Txn({LEAD_KEY: Revision(f.epoch)}))
-        if self._add_ends(pending, ops):
+        if self._add_ends(pending, f.ending, ops):
             self._add_chunks(pending, ops, now)
+            # Nobody waits for these: they are told by the end of the job before them, and a wide
+            # fan-out would hold back all placements for as long as its ends take to write.
+            self._add_ends(pending, f.orphaned, ops)
             self._add_cleanups(pending, ops)
         if not pending.txn.writes:
             return None
@@ -114,11 +124,11 @@
             return True
         return len(pending.units) >= self._most_units and unit not in pending.units
 
-    def _add_ends(self, pending: PendingTxn, ops: int) -> bool:
+    def _add_ends(self, pending: PendingTxn, jobs: dict[JobId, Job], ops: int) -> bool:
         """Returns whether anything of less urgency may follow: not while an end waits for more
         tokens, or each token would go to a placement as it came."""
         txn = pending.txn
-        for job in self.f.ending.values():
+        for job in jobs.values():
             if job.id in self._aside or self._held(pending, job.id, END + job.id):
                 continue
             how = users.CANCELLED if job.cancelled else users.DONE
@@ -145,7 +155,7 @@
         urgent: list[tuple[bool, int, int, int, Job, Chunk]] = []
         idle: list[tuple[Steady, Job, Chunk]] = []
         for job in list(f.dirty.values()):
-            if job.ended is not None or job.id in f.ending:
+            if job.ended is not None or job.cancelled or job.id in f.ending:
                 # The end covers the record; what it still lists is checked against reports.
                 for c in job.chunks.values():
                     c.dirty = c.urgent = False
@@ -383,6 +393,7 @@
         job.ended = how
         f.predictor.ended(job, how)
         f.ending.pop(job.id, None)
+        f.orphaned.pop(job.id, None)
         if how == users.CANCELLED and not job.cancelled:
             f.cancelled(job, now, now)
         f.stop_all(job, now)
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -414,3 +414,21 @@
         w.poll_all()
     finish(w)
     assert {w.end_in_store(job) for job in w.jobs} == {users.CANCELLED}
+
+
+def test_ends_of_a_wide_fan_out_hold_back_no_placement() -> None:
+    """They are told already; what is ready must not wait until thousands of them are written."""
+    w = World(12)
+    w.submit("wk-a", parcels=1, run_s=60.0)
+    for i in range(1500):
+        w.submit(f"wk-m{i}", parcels=1, awaits=["wk-a"], run_s=1.0)
+    w.run(6.0)
+    w.cancel("wk-a")
+    w.run(0.3)
+    w.submit("wk-next", parcels=4, run_s=1.0)
+    w.run(6.0)
+    assert w.end_in_store("wk-next") == users.DONE
+    c = w.controller
+    assert c is not None and c.floor.orphaned, "not all of their ends are written yet"
+    w.poll_all()
+    finish(w)
