--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -7,13 +7,13 @@
 import orjson
 import pytest
 
-from eldercart.core.controller import Controller
+from eldercart.core.controller import Controller, Outcome
 from eldercart.core.jobs import Phase
 from eldercart.core.relay import Relay, contact, spare_s
 from eldercart.net.relaying import Relaying
 from eldercart.settings import load_tuning
 from eldercart.settings.platform import parse_platform
-from eldercart.units import Epoch, MachineId, NodeId, Steady
+from eldercart.units import Epoch, JobId, MachineId, NodeId, Revision, Steady
 from eldercart.wire import peers, workers
 from relayworld import RelayWorld
 from standins import WorkerSim
@@ -365,3 +365,40 @@
     with caplog.at_level("WARNING"):
         Relaying(here.node)  # type: ignore[arg-type]
     assert "cancel_s=18 leaves nothing" in caplog.text
+
+
+@pytest.mark.parametrize("write", ["answered", "lost", "carried out late"])
+@pytest.mark.parametrize("again", [False, True], ids=["", "another leader in the outage"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_cancelled_in_the_moment_of_the_refusal(seed: int, again: bool, write: str) -> None:
+    """The old leader's write of the end may be in the store without its knowing; the user asks
+    again until one confirms. Then the store goes, and the workers still report to the old one."""
+    w = loaded_world(seed)
+    c = w.controller
+    assert c is not None
+    w.stale, w.stale_epoch = set(w.cloud.machines), c.epoch
+    now = Steady(w.now)
+    w.cancel("wk-0")
+    pending = c.next_txn(now, 2)
+    assert pending is not None and [j.id for j, _ in pending.ends] == ["wk-0"]
+    if write != "lost":
+        status, answer = w.store.txn(pending.txn.body())
+        assert status == 200
+    if write == "answered":
+        c.txn_done(pending, Outcome.OK, Revision(answer["ledgerRev"]), (), now)
+        for job, how in c.take_finished():
+            w.tell(job, how)
+    w.elect()
+    if write == "carried out late":
+        assert w.controller is not None
+        assert w.controller.cancel(JobId("wk-0"), Steady(w.now)) == "aborted"
+        w.tell("wk-0", "aborted")
+    cancel_all(w)
+    w.outage_until = w.now + 46.0
+    w.run(4.0)
+    if again:
+        w.elect()  # as one that was written into the store just before it went
+    w.run(26.0)
+    assert not any(m.on() for m in w.cloud.machines.values())
+    w.run(20.0)
+    finish(w)
