--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -348,9 +348,7 @@
     for _ in range(400):
         w.now += 0.1
         now = Steady(w.now)
-        c.tick(now)
-        if c.plan_due(now):
-            c.plan(now)
+        w.lead(c, now)
         w.serve_cloud(c, now)
         for m in list(w.cloud.machines.values()):
             w.serve_worker(c, m, now, 0.1)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -72,9 +72,7 @@
     for _ in range(4000):
         w.now += 0.1
         now = Steady(w.now)
-        c.tick(now)
-        if c.plan_due(now):
-            c.plan(now)
+        w.lead(c, now)
         w.serve_cloud(c, now)
         pending = c.next_txn(now, 20)
         if pending is not None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -142,9 +142,7 @@
         self.late = [(t, b) for t, b in self.late if t > self.now]
         if self.leader_runs():
             c.records.may_recut = self.may_recut
-            c.tick(now)
-            if c.plan_due(now):
-                c.plan(now)
+            self.lead(c, now)
             self.serve_store(c, now)
             self.serve_cloud(c, now)
             self.serve_orders(c, now)
@@ -163,6 +161,12 @@
             self.orders += 1
             c.ordered(workers.parse_report(report), status == 200, now, now)
 
+    def lead(self, c: Controller, now: Steady) -> None:
+        """What the leader does by itself, before anything is carried out for it."""
+        c.tick(now)
+        if c.plan_due(now):
+            c.plan(now)
+
     def leader_runs(self) -> bool:
         return True
 
