--- a/src/eldercart/net/dependencies.py
+++ b/src/eldercart/net/dependencies.py
@@ -35,6 +35,7 @@
 V = TypeVar("V")
 
 AT_ONCE = 4  # requests of one check under way
+MANY = 2  # requests of guards, beyond which ends are read by their prefix
 ONE_BY_ONE = 8  # records read by themselves; more are read by their prefix
 DEEP = 4  # jobs in a row, after which all open ones are read: a request for each takes too long
 GUARD_BYTES = 48 * 1024  # of a transaction's 64 KiB
@@ -102,17 +103,17 @@
 
     # -- lists too long for their job's record
 
+    def fits(self, spec: JobSpec) -> bool:
+        """Whether the job's record takes its list."""
+        return not needs_parts(spec.dependencies, self.node.settings.value_bytes)
+
     def write_list(
-        self, spec: JobSpec, until: Steady, done: Callable[[ListReference | None, bool], None]
+        self, spec: JobSpec, until: Steady, done: Callable[[ListReference | None], None]
     ) -> None:
-        """`done(where, True)` once the list is durable, at once with None if the record takes it;
-        `done(None, False)` if it can't be written now."""
-        parts = needs_parts(spec.dependencies, self.node.settings.value_bytes)
-        if not parts:
-            done(None, True)
-            return
+        """`done(where)` once the list is durable; None if it can't be written now."""
         started = self._lists.pop(spec.id, None)
         if started is None or started.dependencies != spec.dependencies or started.under_way:
+            parts = needs_parts(spec.dependencies, self.node.settings.value_bytes)
             started = _List(self.node, spec, parts)
         self._lists[spec.id] = started
         while len(self._lists) > UNDER_WAY:
@@ -120,10 +121,32 @@
         started.write(until, done)
 
     def forget_list(self, job: JobId) -> None:
-        """A try to store the job's record has used it: the next one may not, since this list
-        may belong to a record that is cleaned up meanwhile."""
+        """The job's record is there. As long as that is not sure the next try may use the same
+        list: whichever of their records comes first, its guards keep the others out, and so does
+        the job's end."""
         self._lists.pop(job, None)
 
+    # -- ends of many jobs
+
+    def read_ends(
+        self, jobs: Iterable[JobId], done: Callable[[dict[JobId, str] | None], None]
+    ) -> None:
+        """How those jobs ended that did, and more of them: what is read is kept as known. It is
+        one request for each thousand ends that begin alike, where guards would take one for each
+        few jobs."""
+        front = self.node.front
+
+        def got(items: list[Item] | None, _: Revision) -> None:
+            if items is None:
+                done(None)
+                return
+            ends = {JobId(item.key[len(END) :]): end_of(item.value) for item in items}
+            for job, how in ends.items():
+                front.final(job, how)
+            done(ends)
+
+        self.node.store.range(END + _common(jobs), got)
+
     # -- cancelled ancestors
 
     def read(self, item: Item, done: Callable[[tuple[JobId, ...] | None], None]) -> None:
@@ -166,6 +189,13 @@
         _Walk(self.node, self, jobs, done).step()
 
 
+def _common(jobs: Iterable[JobId]) -> str:
+    """What all names begin with. The first and the last share what all between them share."""
+    names = list(jobs)
+    pairs = zip(min(names), max(names), strict=False)
+    return "".join(a for a, _ in takewhile(lambda pair: pair[0] == pair[1], pairs))
+
+
 class _Check:
     """One look at whether all of some jobs were accepted."""
 
@@ -186,7 +216,7 @@
 
     def begin(self) -> None:
         if not self._left or self._node.leading.controller is not None:
-            self._read()
+            self._read_ends()
             return
         # The leader knows nearly all that still runs, and is asked without a token.
         asked, self._open = self._left, 1
@@ -206,6 +236,23 @@
         self._open -= 1
         if self._open == 0:
             self._left = [job for job in self._left if not self._book.was_accepted(job)]
+            self._read_ends()
+
+    def _read_ends(self) -> None:
+        """Of many that neither this node nor the leader knows most are over."""
+        store = self._node.store
+        if len(self._left) <= MANY * 2 * self._node.settings.txn_ops:
+            self._read()
+        elif store.requests.available(self._node.clock(), FOR_ACCEPTING) < 1:
+            self._finish(Known.UNTOLD)
+        else:
+            self._book.read_ends(self._left, self._got_range)
+
+    def _got_range(self, ends: dict[JobId, str] | None) -> None:
+        if ends is None:
+            self._finish(Known.UNTOLD)
+        else:
+            self._left = [job for job in self._left if job not in ends]
             self._read()
 
     def _read(self) -> None:
@@ -268,16 +315,16 @@
         prefix = needs_prefix(spec.id, self._where)
         self._todo = {f"{prefix}{i}": part for i, part in enumerate(parts)}
 
-    def write(self, until: Steady, done: Callable[[ListReference | None, bool], None]) -> None:
+    def write(self, until: Steady, done: Callable[[ListReference | None], None]) -> None:
         store = self._node.store
         now = self._node.clock()
         if not self._todo:
-            done(self._where, True)
+            done(self._where)
             return
         # One change is left to the job's record.
         ops = min(self._node.settings.txn_ops, store.writes.available(now, FOR_ACCEPTING) - 1)
         if now > until or ops < 1 or not store.requests.take(now, 1, FOR_ACCEPTING):
-            done(None, False)
+            done(None)
             return
         txn = Txn()
         size = 0
@@ -299,7 +346,7 @@
             if written:
                 self.write(until, done)
             else:
-                done(None, False)
+                done(None)
 
         store.txn(txn, got)
 
@@ -376,12 +423,35 @@
     def _check_ends(self) -> None:
         most = max(1, min(4 * self._node.settings.txn_ops, GUARD_BYTES // 120))
         wanted = -(-len(self._unchecked) // most)
-        for _ in range(self._may(min(wanted, AT_ONCE))):
+        if wanted > MANY:
+            if self._may(1) > 0:
+                batch, self._unchecked = self._unchecked, []
+                self._book.read_ends(batch, partial(self._got_all_ends, batch))
+            return
+        for _ in range(self._may(wanted)):
             batch, self._unchecked = self._unchecked[:most], self._unchecked[most:]
             guards = {END + job: ABSENT for job in batch}
             self._node.store.requests.force(self._node.clock())
             self._node.store.txn(Txn(guards), partial(self._got_ends, batch))
 
+    def _got_all_ends(self, batch: list[JobId], ends: dict[JobId, str] | None) -> None:
+        if ends is None:
+            self._failed = True
+        else:
+            for job in batch:
+                if job not in ends:
+                    self._is_open(job)
+                elif ends[job] == users.CANCELLED:
+                    self._cancelled = True
+        self._over()
+
+    def _is_open(self, job: JobId) -> None:
+        needs = self._book.needs.get(job)
+        if needs is None:
+            self._unread.append(job)
+        else:
+            self._new += needs  # known by now, if it was not when the way came here
+
     def _got_ends(
         self, batch: list[JobId], status: int | None, _: Revision, failed: tuple[str, ...]
     ) -> None:
@@ -390,10 +460,8 @@
             for job in batch:
                 if END + job in there:
                     self._ended.append(job)
-                elif (needs := self._book.needs.get(job)) is None:
-                    self._unread.append(job)
                 else:
-                    self._new += needs  # known by now, if it was not when the way came here
+                    self._is_open(job)
         else:
             self._failed = True
         self._over()
@@ -408,12 +476,8 @@
             if self._may(1) > 0:
                 wanted = set(jobs)
                 jobs.clear()
-                # Two names share what all between them share.
-                low, high = ("", "") if deep else (min(wanted), max(wanted))
-                pairs = zip(low, high, strict=False)
-                same = sum(1 for _ in takewhile(lambda pair: pair[0] == pair[1], pairs))
                 store.range(
-                    prefix + low[:same],
+                    prefix + ("" if deep else _common(wanted)),
                     lambda items, _: self._got_range(wanted, prefix, items, got),
                 )
             return
--- a/src/eldercart/net/front.py
+++ b/src/eldercart/net/front.py
@@ -131,12 +131,15 @@
             self._accept(request, spec)
 
     def _refuse(self, request: JsonRequest, job: JobId, status: int, message: str) -> None:
+        self._unless_known(request, job, lambda: request.reply(status, users.error_body(message)))
+
+    def _unless_known(self, request: JsonRequest, job: JobId, absent: Callable[[], Any]) -> None:
         """A repeat of an accepted job gets its state, whatever the body says now."""
-        self.look_up(
+        self._state_of(
             job,
-            found=lambda state: request.reply(200, users.state_body(job, state)),
-            absent=lambda: request.reply(status, users.error_body(message)),
-            failed=lambda: request.reply(503, users.error_body("cannot tell"), RETRY_S),
+            found=lambda told: request.reply(200, users.state_body(job, told.verdict)),
+            absent=absent,
+            failed=lambda pause: request.reply(503, users.error_body("cannot tell"), pause),
         )
 
     def _check_dependencies(self, request: JsonRequest, spec: JobSpec) -> None:
@@ -153,17 +156,26 @@
                 close = node.store.requests.available(node.clock(), FOR_ACCEPTING) < 1
                 body = users.error_body("cannot tell about the jobs that it awaits")
                 request.reply(503, body, RETRY_S, close=close)
+            elif self.dependencies.fits(spec):
+                self._accept(request, spec)
             else:
-                self.dependencies.write_list(spec, until, listed)
+                # A repeat must not write the list once more.
+                self._unless_known(request, spec.id, write)
+
+        def write() -> None:
+            self.dependencies.write_list(spec, until, listed)
 
-        def listed(where: ListReference | None, written: bool) -> None:
-            if written:
+        def listed(where: ListReference | None) -> None:
+            if where is not None and node.clock() <= until:
                 self._accept(request, spec, where)
             else:
                 # The next try goes on with what is written if it comes here.
                 request.reply(503, users.error_body("cannot store it now"), RETRY_S)
 
-        self.dependencies.check(spec.dependencies, known)
+        if self.dependencies.was_accepted(spec.id):
+            self._refuse(request, spec.id, 503, "try again")  # its record is there, or its end
+        else:
+            self.dependencies.check(spec.dependencies, known)
 
     def _accept(
         self, request: JsonRequest, spec: JobSpec, where: ListReference | None = None
@@ -187,10 +199,11 @@
         size = chunk_size(node.settings.value_bytes)
         at = WallTime(time.time())
         record = job_record(spec, size, at, where)
-        self.dependencies.forget_list(job)
         txn = Txn({JOB + job: ABSENT, END + job: ABSENT}, [Put(JOB + job, record)])
 
         def done(status: int | None, revision: Revision, failed: tuple[str, ...]) -> None:
+            if status in (200, 409):
+                self.dependencies.forget_list(job)
             if status == 200:
                 self.dependencies.accepted(job)
                 request.reply(201, users.state_body(job, users.PENDING))
@@ -280,35 +293,54 @@
 
     # -- polls and cancellations
 
-    def _poll(self, request: JsonRequest, job: JobId) -> None:
+    def _state_of(
+        self,
+        job: JobId,
+        found: Callable[[peers.Told], Any],
+        absent: Callable[[], Any],
+        failed: Callable[[int], Any],
+    ) -> None:
+        """As the leader tells, which takes no token; what it does not know is read."""
+
         def fresh() -> None:
             self.look_up(
                 job,
-                found=lambda state: request.reply(200, users.state_body(job, state, 0, 0)),
-                absent=lambda: request.reply(404, users.error_body("no such job")),
-                failed=lambda: request.reply(503, users.error_body("cannot tell now"), RETRY_S),
+                lambda state: found(peers.Told(0, state, 0, 0)),
+                absent,
+                lambda: failed(RETRY_S),
             )
 
         def answered(told: peers.Told | None) -> None:
             if told is None or told.verdict in (peers.NOT_LEADER, peers.UNKNOWN):
                 fresh()
             elif told.verdict == peers.UNDECIDED:
-                request.reply(503, users.error_body("ending"), 1)
+                failed(1)  # its end is being written
             else:
+                self.dependencies.accepted(job)
                 if told.verdict in (users.DONE, users.CANCELLED):
                     self.final(job, told.verdict)
-                self.dependencies.accepted(job)
-                body = users.state_body(job, told.verdict, told.done, told.running, told.waiting)
-                request.reply(200, body)
+                found(told)
 
         how = self._finals.get(job)
         if how is not None:
-            request.reply(200, users.state_body(job, how, 0, 0))
+            found(peers.Told(0, how, 0, 0))
         elif self.node.leading.controller is not None:
             answered(self.node.leading.tell(0, job))
         elif not self.node.relaying.poll(job, answered):
             fresh()
 
+    def _poll(self, request: JsonRequest, job: JobId) -> None:
+        def found(told: peers.Told) -> None:
+            body = users.state_body(job, told.verdict, told.done, told.running, told.waiting)
+            request.reply(200, body)
+
+        self._state_of(
+            job,
+            found,
+            absent=lambda: request.reply(404, users.error_body("no such job")),
+            failed=lambda pause: request.reply(503, users.error_body("cannot tell now"), pause),
+        )
+
     def _cancel(self, request: JsonRequest, job: JobId) -> None:
         def answered(verdict: str) -> None:
             if verdict in (users.DONE, users.CANCELLED):
