--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -120,6 +120,7 @@
         self._summary_due = now
         self._memory_due = Steady(now + tuning.memo_s)
         self._memory_next = 0  # of the records of memory, the one whose turn it is
+        self._markers: dict[JobId, Item] = {}  # of ended jobs whose records are not read yet
 
     # ------------------------------------------------------------------ take-over
 
@@ -130,15 +131,19 @@
         cleanup_items: Iterable[Item],
         now: Steady,
         memory_items: Iterable[Item] = (),
+        incomplete_jobs: Iterable[Item] = (),
     ) -> None:
-        """Takes over the records. Every recorded placement may be on its machine."""
+        """Takes over the records. Every recorded placement may be on its machine.
+        `incomplete_jobs`: job records whose dependency lists are not read yet; `learn_job` takes
+        them later."""
         for item in memory_items:
             memory.recall(self.scheduler, item.key, item.value)
         job_items = list(job_items)
         for item in job_items:
             self.learn_job(item, now)
         loaded = self.records.placement_records.load(place_items, self.jobs, now)
-        self._load_markers(cleanup_items, {item.key[len(JOB) :] for item in job_items}, now)
+        recorded = {item.key[len(JOB) :] for item in (*job_items, *incomplete_jobs)}
+        self._load_markers(cleanup_items, recorded, now)
         for job in self.jobs.jobs.values():
             self._finish_load(job, now)
         self._load_placements(loaded, now)
@@ -149,14 +154,16 @@
 
     def _load_markers(self, markers: Iterable[Item], recorded: set[str], now: Steady) -> None:
         """Jobs that have ended and wait to be cleaned up. A marker without a job record is a
-        leftover; one whose record can't be read stays, or a leader that can read the record would
+        leftover; one whose record can't be read yet stays, or whoever can read the record would
         take the job for open."""
         for item in markers:
             job_id = JobId(item.key[len(CLEANUP) :])
             job = self.jobs.get(job_id)
             if job is not None:
                 self._load_ended(job, item, now)
-            elif job_id not in recorded:
+            elif job_id in recorded:
+                self._markers[job_id] = item
+            else:
                 self.records.orphans.append((item.key, item.version))
 
     def _load_ended(self, job: Job, marker: Item, now: Steady) -> None:
@@ -209,6 +216,9 @@
             log.error("job record unreadable job=%s: %s", job_id, err)
             return
         self.add_job(spec, size, WallTime(at), now, list_read_at(item.value))
+        marker = self._markers.pop(job_id, None)
+        if marker is not None:
+            self._load_ended(self.jobs.jobs[job_id], marker, now)
 
     def add_job(
         self, spec: JobSpec, size: int, at: WallTime, now: Steady,
--- a/src/eldercart/election/__init__.py
+++ b/src/eldercart/election/__init__.py
@@ -28,7 +28,7 @@
 FAILED_PARTS = 16  # one is the pause after an action that was not carried out
 RENEWAL_PARTS = 5  # one is the time from a renewal to the next
 READ_PARTS = 2  # one is the time between two reads of the leader key, besides the watch on it
-RESIGNED_HOLDS = 3  # for which a node that has resigned does not claim the leadership
+RESIGNED_LEASES = 3  # for which a node that has resigned does not claim the leadership
 
 
 class Role(Enum):
@@ -101,7 +101,8 @@
         self._renewal_due = NEVER
         self._absent = False  # the last read found no leader key
         self._stale_lease: LeaseId | None = None
-        self._busy = False
+        self._revocation_due = NEVER
+        self._under_way: Action | None = None
         self._back_at = NEVER
 
     # -- what others may ask
@@ -163,25 +164,28 @@
         lease = self._lease
         self._step_down(now)
         self._stale_lease = lease
-        self._back_at = Steady(now + RESIGNED_HOLDS * self._lease_s)
+        self._back_at = Steady(now + RESIGNED_LEASES * self._lease_s)
 
     def retire(self, now: Steady) -> None:
         """Gives the lease up for good: this node is about to end."""
         self.resign(now)
+        if self._stale_lease is None:
+            # A claim on it may be under way, or be carried out later although it had no answer.
+            self._stale_lease = self._lease
         self._back_at = Steady(math.inf)
 
     @property
     def hands_over(self) -> bool:
-        """Whether a lease that was given up has still to be dropped."""
-        return self._stale_lease is not None
+        """Whether a lease that was given up may still hold the leader key."""
+        return self._stale_lease is not None or isinstance(self._under_way, Claim)
 
     def next_action(self, now: Steady) -> Action | None:
         """What is to be carried out now; its outcome must be handed in before the next."""
-        if self._busy:
+        if self._under_way is not None:
             return None
         action = self._choose(now)
         if action is not None:
-            self._busy = True
+            self._under_way = action
             self._sent = now
         return action
 
@@ -192,7 +196,7 @@
             if now >= self._renewal_due and self._lease is not None:
                 return RenewLease(self._lease)
             return None
-        if self._stale_lease is not None:
+        if self._stale_lease is not None and now >= self._revocation_due:
             return RevokeLease(self._stale_lease)
         if self._absent and now >= self._back_at:
             if self._lease is None or now >= self._deadline:
@@ -208,7 +212,7 @@
 
     def failed(self, action: Action, now: Steady) -> None:
         """No answer, 429 or 503: not carried out, or nobody knows."""
-        self._busy = False
+        self._under_way = None
         pause = self._lease_s / FAILED_PARTS
         if isinstance(action, RenewLease):
             self._renewal_due = Steady(now + pause)
@@ -217,7 +221,8 @@
             self._absent = False
             self._read_due = Steady(now + pause)
         elif isinstance(action, RevokeLease):
-            self._stale_lease = None
+            # Tried again until it is answered; reads of the key go on in between.
+            self._revocation_due = Steady(now + 2 * pause)
             self._read_due = Steady(now + pause)
         else:
             self._absent = False
@@ -225,7 +230,7 @@
 
     def read(self, item: Item | None, now: Steady) -> None:
         """The leader key as a read found it; None: it is absent."""
-        self._busy = False
+        self._under_way = None
         self._absent = item is None
         # The watch on the key is the usual alarm; this is the backstop if it hangs.
         self._read_due = Steady(now + self._lease_s / READ_PARTS)
@@ -247,13 +252,13 @@
 
     def opened(self, lease: LeaseId, now: Steady) -> None:
         """The lease was opened; it counts from before the request was sent."""
-        self._busy = False
+        self._under_way = None
         self._lease = lease
         self._deadline = Steady(self._sent + self._usable)
 
     def renewed(self, alive: bool, now: Steady) -> bool:
         """Returns whether the node is deposed by this."""
-        self._busy = False
+        self._under_way = None
         if alive:
             self._deadline = Steady(self._sent + self._usable)
             self._renewal_due = Steady(self._sent + self._lease_s / RENEWAL_PARTS)
@@ -263,13 +268,15 @@
 
     def dropped(self, now: Steady) -> None:
         """The lease that was left over has ended."""
-        self._busy = False
+        self._under_way = None
+        if self._lease == self._stale_lease:
+            self._lease = None
         self._stale_lease = None
         self._read_due = now
 
     def claimed(self, revision: Revision | None, now: Steady, lease_lost: bool = False) -> None:
         """The claim's answer; None: somebody else holds the key, or the lease has ended."""
-        self._busy = False
+        self._under_way = None
         self._absent = False
         if revision is None:
             if lease_lost:
--- a/src/eldercart/net/leader_service.py
+++ b/src/eldercart/net/leader_service.py
@@ -91,8 +91,9 @@
         )  # fmt: skip
         resolved = resolve_all(records.jobs, records.dependency_lists)
         controller.load(
-            resolved.whole, records.placements, records.cleanup_markers, now, records.memory_records
-        )
+            resolved.whole, records.placements, records.cleanup_markers, now,
+            records.memory_records, resolved.missing,
+        )  # fmt: skip
         gc.collect()
         gc.freeze()
         self.controller = controller
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -17,7 +17,7 @@
 
 from eldercart.election import Claim, Election, OpenLease, ReadLead, RenewLease, RevokeLease, Role
 from eldercart.units import LeaseId, NodeId, Revision, Steady
-from eldercart.wire.state import Item
+from eldercart.wire.state import Item, Txn
 from test_end_to_end import LIMIT_S, Region, Service, call, until
 from world import submission
 
@@ -233,3 +233,29 @@
         assert isinstance(revocation, RevokeLease)
         election.failed(revocation, NOW)
     assert election.hands_over
+
+
+def test_a_retired_node_revokes_the_lease_of_a_claim_without_an_answer() -> None:
+    """The claim may be carried out after the process has ended, unless its lease is gone first."""
+    election = elected()
+    election.retire(NOW)
+    election.failed(Claim(Txn({})), NOW)
+    assert election.hands_over
+    assert election.next_action(NOW) == RevokeLease(LeaseId(4))
+    election.dropped(NOW)
+    assert not election.hands_over
+
+
+def test_a_refused_revocation_is_repeated_with_reads_between() -> None:
+    """What the key holds meanwhile may be another node's."""
+    election = elected()
+    election.claimed(Revision(9), NOW)
+    election.retire(NOW)
+    revocation = election.next_action(NOW)
+    assert isinstance(revocation, RevokeLease)
+    election.failed(revocation, NOW)
+    assert election.next_action(NOW) is None, "after a pause"
+    later = Steady(NOW + 0.3)
+    assert isinstance(election.next_action(later), ReadLead)
+    election.read(None, later)
+    assert election.next_action(Steady(NOW + 1.0)) == revocation
--- a/tests/test_leading.py
+++ b/tests/test_leading.py
@@ -347,3 +347,19 @@
     node.leader_service.end("the test is over")
     deleted = [write["delete"] for writes in sent for write in writes if "delete" in write]
     assert "gone/wk-000001" not in deleted
+
+
+def test_a_job_whose_list_is_read_late_has_ended_as_its_marker_says() -> None:
+    """Its record alone would make it an open job, and its tasks would run once it is ready."""
+    node, clock, _ = leading_node(None, cloud.parse_catalog(CATALOG))
+    spec = users.parse_submission(submission("wk-000001", awaits=["wk-000000"]))
+    reference = users.ListReference("abc", 1)
+    job = Item("job/wk-000001", job_record(spec, 50, clock.now, reference), Revision(3))
+    marker = Item("gone/wk-000001", {"e": users.CANCELLED, "t": clock.now}, Revision(4))
+    node.leader_service._take_over(
+        Epoch(6), StoredRecords([], [job], [], [marker], [], [], Revision(5))
+    )
+    controller = node.leader_service.controller
+    assert controller is not None and JobId("wk-000001") not in controller.jobs
+    controller.learn_job(Item(job.key, job_record(spec, 50, clock.now), Revision(3)), clock.now)
+    assert controller.status(JobId("wk-000001")) == JobStatus(users.CANCELLED, 0, 0)
