Looks at all machines are paced by what they cost; nothing remembered by number falls short of 4,000 machines

Cause, by the profile of a leader of 4,029 machines and its load lines: the look at demand and supply came up to three times a second, that at all machines twice and that at all tasks every 1.5 s, each growing with the fleet, and the cost that paces planning also counted the look before it, so that planning had two passes in ten seconds left. Each is now spaced by its own cost (core.pacing), one part in eight of the time at most; a cost that a stall has stretched is believed up to a bound, also by the planner, which would have paused for five times the stall.

Lifted: deleted machines remembered (5,000 -> four fleets at least), given-up reports whose late answers are recognised (500 -> 16,384).

--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -39,6 +39,7 @@
     parse_job_record,
 )
 from eldercart.core.machines import MachineWatch
+from eldercart.core.pacing import PacedWork
 from eldercart.core.planner import Planner
 from eldercart.core.records import Outcome, PendingTxn, Records
 from eldercart.core.reports import Reports
@@ -47,7 +48,6 @@
 from eldercart.election import LEAD_KEY
 from eldercart.settings import NodeSettings, Tuning
 from eldercart.units import (
-    NEVER,
     ONLY_INCARNATION,
     Epoch,
     IncarnationId,
@@ -116,7 +116,7 @@
         self.silence = Silence(self.scheduler)
         self.orders = DirectOrders(self.scheduler)
         self.machine_watch = MachineWatch(self.scheduler, self.silence)
-        self._rented = NEVER
+        self._renting = PacedWork(RENTAL_PACE_S)
         self._summary_due = now
         self._memory_due = Steady(now + tuning.memo_s)
         self._memory_next = 0  # of the records of memory, the one whose turn it is
@@ -333,14 +333,19 @@
     def tick(self, now: Steady) -> None:
         """What is due by the clock alone; called several times a second."""
         self.machine_watch.watch(now)
-        if now >= self.scheduler.rental_due and now - self._rented >= RENTAL_PACE_S:
-            self._rented = now
+        if now >= self.scheduler.rental_due and self._renting.due(now):
+            self._renting.begin(now)
             self.scheduler.rental_due = Steady(now + 1.0)
             self.cloud.rent(now)
         if now >= self._summary_due:
             self._summary_due = Steady(now + 10.0)
             self._summary(now)
 
+    def tick_took(self, seconds: float) -> None:
+        """The last tick took so long; what it did is repeated at a pace that this sets."""
+        self.machine_watch.took(seconds)
+        self._renting.took(seconds)
+
     def plan_due(self, now: Steady) -> bool:
         """Whether a pass of placing is worth its cost now."""
         # While nothing can be written, nothing new can be placed, and what was written ahead is
--- a/src/eldercart/core/fleet.py
+++ b/src/eldercart/core/fleet.py
@@ -26,7 +26,8 @@
 from eldercart.wire.users import JobSpec
 
 EPS = 1e-6
-GONE_KEPT = 5000  # deleted machines that are remembered
+# Deleted machines that are remembered: so many, and more where the fleet is larger.
+DELETED_KEPT_LEAST, DELETED_KEPT_FLEETS = 5000, 4
 
 
 class MachineState(IntEnum):
@@ -125,6 +126,7 @@
         """No machines yet."""
         self.machines: dict[MachineId, Machine] = {}
         self._deleted: dict[MachineId, None] = {}  # a late list or report may still name them
+        self._largest = 0  # number of machines there have been at once
         self.team_cpus: dict[str, float] = {}
         self.team_gpus: dict[str, float] = {}
         self.used: dict[int, float] = {}  # CPUs placed, by priority
@@ -262,7 +264,9 @@
         self.machines.pop(m.id, None)
         self.queues.pop(m.id, None)
         self._deleted[m.id] = None
-        while len(self._deleted) > GONE_KEPT:
+        self._largest = max(self._largest, len(self.machines))
+        most = max(DELETED_KEPT_LEAST, DELETED_KEPT_FLEETS * self._largest)
+        while len(self._deleted) > most:
             del self._deleted[next(iter(self._deleted))]
 
     def note_image(self, m: Machine, image: str, size_gb: float) -> None:
--- a/src/eldercart/core/machines.py
+++ b/src/eldercart/core/machines.py
@@ -5,6 +5,7 @@
 from eldercart.core import placement as rules
 from eldercart.core.fleet import EPS, Machine, MachineState, is_being_cancelled
 from eldercart.core.jobs import Phase, Placement
+from eldercart.core.pacing import PacedWork
 from eldercart.core.scheduler_state import SchedulerState
 from eldercart.core.silence import Silence
 from eldercart.units import Steady
@@ -26,17 +27,22 @@
         """The first look is due at once."""
         self._scheduler = scheduler
         self._silence = silence
-        self._watch_due = scheduler.began
-        self._tasks_due = scheduler.began
+        self._watching = PacedWork(WATCH_S)
+        self._watching_tasks = PacedWork(TASKS_S)
+
+    def took(self, seconds: float) -> None:
+        """The last look took so long; thousands of machines are looked at less often."""
+        self._watching.took(seconds)
+        self._watching_tasks.took(seconds)
 
     def watch(self, now: Steady) -> None:
         """Looks at each machine, if it is time for that."""
-        if now < self._watch_due:
+        if not self._watching.due(now):
             return
-        self._watch_due = Steady(now + WATCH_S)
-        tasks_due = now >= self._tasks_due
+        self._watching.begin(now)
+        tasks_due = self._watching_tasks.due(now)
         if tasks_due:
-            self._tasks_due = Steady(now + TASKS_S)
+            self._watching_tasks.begin(now)
         patience = self._silence.patience
         self._silence.find_mute(now)
         for machine in self._scheduler.fleet.machines.values():
--- a/src/eldercart/core/planner.py
+++ b/src/eldercart/core/planner.py
@@ -19,6 +19,7 @@
 log = logging.getLogger("eldercart.controller")
 
 PACE = 5.0  # a pass may take one part in so many of the time
+MOST_COST_S = 2.0  # that is believed: a process that was stalled meanwhile did not plan so long
 UNWRITTEN_S = 0.2  # of the changes a second, that placements may wait to be written
 OFFERS = 12  # machines looked at per task that others are stopped for
 VAIN_S = 45.0  # for which room may be kept for others, or a job wait for better, in vain
@@ -41,7 +42,7 @@
 
     def cost(self, seconds: float) -> None:
         """The last pass took so long; the pace of the next ones follows from it."""
-        self._cost = max(seconds, 0.7 * self._cost)
+        self._cost = max(min(seconds, MOST_COST_S), 0.7 * self._cost)
 
     def due(self, now: Steady, unwritten: int) -> bool:
         """`unwritten`: records that hold placements and wait to be written. As long as there are
--- a/src/eldercart/net/forwarding.py
+++ b/src/eldercart/net/forwarding.py
@@ -21,7 +21,9 @@
 
 FLUSH_S = 0.015  # in which reports gather to a batch
 REPORT_S = 3.0  # a worker drops answers after 4 s
-GIVEN_UP_KEPT = 500  # reports given up whose late answers are still recognized
+# Reports given up whose late answers are still recognized: a stalled leader may leave those of all
+# workers of this node, twice over.
+GIVEN_UP_KEPT = 16_384
 
 
 @dataclass(slots=True)
--- a/src/eldercart/net/leader_service.py
+++ b/src/eldercart/net/leader_service.py
@@ -123,15 +123,19 @@
             self.node.election.resign(now)
             self.end("hears nobody")
             return
-        controller.records.may_recut = self.node.relay_service.greetings.all_take(peers.RECUT)
+        node = self.node
+        controller.records.may_recut = node.relay_service.greetings.all_take(peers.RECUT)
+        began = node.clock()
         controller.tick(now)
+        controller.tick_took(node.clock() - began)
         if controller.plan_due(now):
             self._plan(controller, now)
         self.process_events()
 
     def _plan(self, controller: Controller, now: Steady) -> None:
+        began = self.node.clock()
         controller.plan(now)
-        took = self.node.clock() - now
+        took = self.node.clock() - began
         controller.planner.cost(took)
         self.node.meters.add("plan", took)
 
