--- a/src/eldercart/core/jobs.py
+++ b/src/eldercart/core/jobs.py
@@ -441,7 +441,7 @@
     return f"{DEPENDENCY_LISTS}{job}/{reference.nonce}/"
 
 
-def needs_keys(job: JobId, reference: ListReference) -> list[str]:
+def dependency_list_keys(job: JobId, reference: ListReference) -> list[str]:
     """The keys of the job's list, as the node that accepted it wrote them."""
     prefix = dependency_list_prefix(job, reference)
     return [f"{prefix}{number}" for number in range(reference.parts)]
@@ -473,7 +473,7 @@
         return item
     values = {found.key: found.value for found in lists}
     dependencies: list[JobId] = []
-    for key in needs_keys(job, reference):
+    for key in dependency_list_keys(job, reference):
         part = values.get(key)
         if not isinstance(part, list):
             return None
--- a/src/eldercart/core/machines.py
+++ b/src/eldercart/core/machines.py
@@ -44,7 +44,7 @@
         if tasks_due:
             self._watching_tasks.begin(now)
         patience = self._silence.patience
-        self._silence.find_mute(now)
+        self._silence.find_unreachable_nodes(now)
         for machine in self._scheduler.fleet.machines.values():
             if machine.state is not MachineState.LEAVING:
                 self._watch_machine(machine, patience, tasks_due, now)
--- a/src/eldercart/core/placement_records.py
+++ b/src/eldercart/core/placement_records.py
@@ -229,7 +229,7 @@
         the coarse one may come after the finer ones were written, and knows less than they."""
         found: PartsFound = {}
         for item in sorted(items, key=lambda i: i.version):
-            self._load_sheet(item, jobs, found)
+            self._load_record(item, jobs, found)
         loaded: list[Placement] = []
         for job_id, copies in found.items():
             loaded += self._load_job(jobs, jobs.jobs[job_id], copies, now)
@@ -240,7 +240,7 @@
                 self._open[placement_record.key] = placement_record
         return loaded
 
-    def _load_sheet(self, item: Item, jobs: JobRegistry, found: PartsFound) -> None:
+    def _load_record(self, item: Item, jobs: JobRegistry, found: PartsFound) -> None:
         placement_record = PlacementRecord(item.key, self._bytes, item.version)
         parts = item.value.get("p") if isinstance(item.value, dict) else None
         of_job = item.key[len(PLACE) :].rpartition("/")
--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -14,8 +14,8 @@
     Phase,
     Placement,
     chunk_size,
+    dependency_list_keys,
     end_of,
-    needs_keys,
 )
 from eldercart.core.placement_records import PlacementRecord, PlacementRecords
 from eldercart.core.scheduler_state import FinishedJob, SchedulerState
@@ -474,4 +474,4 @@
 
 
 def _list_keys(job: Job) -> list[str]:
-    return [] if job.elsewhere is None else needs_keys(job.id, job.elsewhere)
+    return [] if job.elsewhere is None else dependency_list_keys(job.id, job.elsewhere)
--- a/src/eldercart/core/silence.py
+++ b/src/eldercart/core/silence.py
@@ -89,7 +89,7 @@
         reports = float(tuning.silence_reports) * self._scheduler.settings.report_s
         return max(float(tuning.silence_least_s), reports)
 
-    def find_mute(self, now: Steady) -> None:
+    def find_unreachable_nodes(self, now: Steady) -> None:
         """A node may lose its workers, and nothing else: they wait 4 s for an answer and report to
         another a second later, which can take longer than a machine's patience. A machine dies
         alone, or with others that report elsewhere."""
--- a/src/eldercart/net/ending.py
+++ b/src/eldercart/net/ending.py
@@ -8,9 +8,10 @@
 from twisted.internet import reactor as _reactor
 
 from eldercart.election import Role
+from eldercart.net.replies import SOON_S, refuse_for_now
 from eldercart.net.server import JsonRequest
 from eldercart.units import Steady
-from eldercart.wire import users, workers
+from eldercart.wire import workers
 
 if TYPE_CHECKING:
     from eldercart.net.node import Node
@@ -21,7 +22,6 @@
 DRAIN_S = 2.5  # for requests under way; a worker drops answers after 4 s
 LOOK_S = 0.05
 FLUSH_S = 0.1  # from the last answer to the end of the process
-RETRY_S = 1
 
 
 class Ending:
@@ -57,7 +57,7 @@
             other = None if leader == self.node.settings.label else leader
             request.reply(421, workers.redirect_body(other))
         else:
-            request.reply(503, users.error_body("this node ends"), RETRY_S)
+            refuse_for_now(request, "this node ends", SOON_S)
 
     def _look(self) -> None:
         """A claim that was under way may still make this node leader, so it is looked at again."""
@@ -72,6 +72,6 @@
             reactor.callLater(LOOK_S, self._look)
             return
         for request in unanswered:
-            request.reply(503, users.error_body("this node ends"), RETRY_S)
+            refuse_for_now(request, "this node ends", SOON_S)
         log.info("ended refused=%d", len(unanswered))
         reactor.callLater(FLUSH_S, reactor.stop)
--- a/src/eldercart/net/store_work.py
+++ b/src/eldercart/net/store_work.py
@@ -38,7 +38,7 @@
         self._reread_records(controller, now)
         self._read_ends(controller, now)
         self._write_next(controller, now)
-        self._write_memo(controller, now)
+        self._write_memory(controller, now)
 
     def _serves(self, controller: Controller) -> bool:
         return self._node.leader_service.controller is controller
@@ -115,7 +115,7 @@
 
         node.store.txn(pending.txn, done)
 
-    def _write_memo(self, controller: Controller, now: Steady) -> None:
+    def _write_memory(self, controller: Controller, now: Steady) -> None:
         store = self._node.store
         spare = store.writes.available(now, FOR_MEMORY)
         if spare < 1:
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,7 +17,7 @@
     Outcome,
     Rent,
 )
-from eldercart.core.jobs import Phase, chunk_size, end_of, job_record, needs_keys, resolve
+from eldercart.core.jobs import Phase, chunk_size, dependency_list_keys, end_of, job_record, resolve
 from eldercart.election import LEAD_KEY
 from eldercart.settings import load_tuning
 from eldercart.settings.platform import parse_platform
@@ -118,7 +118,7 @@
         size = chunk_size(self.settings.value_bytes)
         where = users.ListReference("abc", parts) if parts else None
         record = job_record(spec, size, self.now, where)
-        for number, key in enumerate(needs_keys(spec.id, where) if where else ()):
+        for number, key in enumerate(dependency_list_keys(spec.id, where) if where else ()):
             part = list(spec.dependencies[number::parts])
             assert self.store.txn(state.Txn({key: ABSENT}, [state.Put(key, part)]).body())[0] == 200
         txn = state.Txn(
