--- a/benchmarks/memory_units.py
+++ b/tests/memory_units.py
@@ -3,7 +3,7 @@
 Counts what Python allocates for thousands of each, by the real code without sockets. Run from the
 root of the repository:
 
-    PYTHONPATH=src:target/deps:tests python3 -m benchmarks.memory_units
+    PYTHONPATH=.:src:target/deps:tests python3 -m memory_units
 """
 
 import gc
