Duties: named leases with fencing tokens, intents written before the cloud is called

Need: rentals and deletions rested on the leader's lease and clock alone; a leader that stalls between its check and its call could delete machines by what it believed before.

A token is the version of the duty's key; intents are guarded on it, on the leader's epoch and on their record's version.

Ruled out: trusting the lease alone (a stalled process sends after its check); waiting for the old holder's lease (the new leader replaces the key in the version that it saw, and the old token is refused from then on).

Tests: seeded schedules of three to five nodes with an independent checker; seven guards are taken out in turn and the checker must miss each.

--- a/src/eldercart/core/cloudwork.py
+++ b/src/eldercart/core/cloudwork.py
@@ -2,6 +2,7 @@
 
 import logging
 from dataclasses import dataclass
+from enum import Enum
 
 from eldercart.core import placement as rules
 from eldercart.core.fleet import MachineState
@@ -18,6 +19,14 @@
 RENTALS = 3  # requests for machines under way at once
 
 
+class Admission(Enum):
+    """Which calls of a kind may be handed out."""
+
+    OPEN = "open"
+    OVERDUE = "overdue"  # deletions of machines whose cancelled tasks must be gone by now
+    HELD = "held"
+
+
 @dataclass(frozen=True, slots=True)
 class Rent:
     """Rent machines, under the request's name."""
@@ -64,6 +73,8 @@
         """`prefix`: of request names."""
         self.scheduler = scheduler
         self.catalog_changed = False
+        self.rentals = Admission.OPEN
+        self.returns = Admission.OPEN
         self._prefix = prefix  # of request names: no other start of any node has it
         self._busy: set[str] = set()
         self._renting = 0
@@ -167,17 +178,14 @@
         if now < self._pause:
             return None
         scheduler = self.scheduler
-        if scheduler.deletions_due and "delete" not in self._busy:
+        deletions = self._next_deletions(now)
+        if deletions:
             self._busy.add("delete")
-            deletions_due = list(scheduler.deletions_due)
-            if len(deletions_due) > cloud.MAX_DELETE:
-                # Time is short where a cancelled task may still be.
-                deletions_due.sort(key=lambda machine: not self._holds_cancelled(machine))
-            return Delete(tuple(deletions_due[: cloud.MAX_DELETE]))
+            return Delete(tuple(deletions))
         if (not scheduler.types or now >= self._catalog_due) and "catalog" not in self._busy:
             self._busy.add("catalog")
             return GetCatalog()
-        if self._rental_requests and self._renting < RENTALS:
+        if self._rental_requests and self._renting < RENTALS and self.rentals is Admission.OPEN:
             self._renting += 1
             rental_request = self._rental_requests.pop(0)
             if not rental_request.sent:
@@ -188,10 +196,51 @@
             return ListPage(self._list_after)
         return None
 
+    def _next_deletions(self, now: Steady) -> list[MachineId]:
+        if "delete" in self._busy or self.returns is Admission.HELD:
+            return []
+        deletions_due = list(self.scheduler.deletions_due)
+        if self.returns is Admission.OVERDUE:
+            deletions_due = [m for m in deletions_due if self._holds_overdue(m, now)]
+        if len(deletions_due) > cloud.MAX_DELETE:
+            # Time is short where a cancelled task may still be.
+            deletions_due.sort(key=lambda machine: not self._holds_cancelled(machine))
+        return deletions_due[: cloud.MAX_DELETE]
+
     def _holds_cancelled(self, machine: MachineId) -> bool:
         m = self.scheduler.fleet.get(machine)
         return m is not None and any(p.job.cancelled for p in m.placed.values())
 
+    def _holds_overdue(self, machine: MachineId, now: Steady) -> bool:
+        m = self.scheduler.fleet.get(machine)
+        return m is not None and any(
+            p.job.cancelled and now > p.job.kill_due for p in m.placed.values()
+        )
+
+    def give_back(self, call: Rent | Delete) -> None:
+        """A call that was handed out and not sent: it is due again."""
+        if isinstance(call, Delete):
+            self._busy.discard("delete")
+        else:
+            self._rental_requests.insert(0, call.rental_request)
+            self._renting -= 1
+
+    def resume(self, rental_request: RentalRequest) -> None:
+        """A request that an earlier leader may have sent: the same name gets the same answer."""
+        self._rental_requests.append(rental_request)
+        if rental_request.offer.type in self.scheduler.types:
+            self.scheduler.rental.rental_requests[rental_request.name] = rental_request
+
+    def condemn(self, machine: MachineId, now: Steady) -> None:
+        """A machine that an earlier leader may have deleted: nothing new starts there."""
+        scheduler = self.scheduler
+        m = scheduler.fleet.get(machine)
+        if m is None:
+            m = scheduler.fleet.add(
+                machine, unknown_type("?"), rules.UNKNOWN_ZONE, True, MachineState.UP, now, now
+            )
+        scheduler.request_deletion(m, now)
+
     def done(self, call: CloudCall, status: int | None, body: bytes, now: Steady) -> None:
         """`status` None: no answer. A malformed answer counts as none."""
         try:
@@ -272,7 +321,7 @@
             scheduler.rental.rental_requests.pop(rental_request.name, None)
             for machine in machines:
                 if scheduler.fleet.get(machine) is None and not scheduler.fleet.is_deleted(machine):
-                    kind = scheduler.types[offer.type]
+                    kind = scheduler.types.get(offer.type) or unknown_type(offer.type)
                     scheduler.fleet.add(
                         machine,
                         kind,
--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -32,6 +32,15 @@
 REFUSED_PAUSE_S = 20.0
 
 
+@dataclass(frozen=True, slots=True)
+class CleanupPermit:
+    """Whether what is left of ended jobs may be deleted, and what those writes are guarded on
+    beside the leader key."""
+
+    allowed: bool = True
+    guards: tuple[tuple[str, Revision], ...] = ()
+
+
 class Outcome(Enum):
     """What became of a transaction."""
 
@@ -54,6 +63,7 @@
     cleanups: list[Job] = field(default_factory=list)
     orphans: list[tuple[str, Revision]] = field(default_factory=list)
     lists: list[str] = field(default_factory=list)  # lists of dependencies that go
+    permit: CleanupPermit = CleanupPermit()
     size: int = 0
     # jobs that end, and placement records: see `Records._split`
     units: set[str] = field(default_factory=set)
@@ -72,6 +82,7 @@
         # Lists of dependencies of which the job's record is deleted already. They are lost with the
         # leader; what then stays in the store is read by nobody.
         self.lists: dict[str, None] = {}
+        self.cleanup_permit = CleanupPermit()
         self.placement_records = PlacementRecords(scheduler.settings.value_bytes, scheduler.epoch)
         self._txn: PendingTxn | None = None
         self._pause = NEVER
@@ -104,10 +115,7 @@
             scheduler.ending
             or scheduler.orphaned
             or scheduler.dirty
-            or self.cleaning
-            or self.orphans
-            or self.lists
-            or self.placement_records.empties()
+            or (self.cleanup_permit.allowed and self.cleanups_waiting)
         ):
             # The last write had no answer and yet nothing is left of it: only a new one can tell
             # whether the store is back, and only a pass of placing makes one.
@@ -124,8 +132,7 @@
             # Nobody waits for these: they are told by the end of the job before them, and a wide
             # fan-out would hold back all placements for as long as its ends take to write.
             self._add_ends(pending, scheduler.orphaned, ops)
-            self._add_cleanups(pending, ops)
-            self._add_lists(pending, ops)
+            self._add_permitted_cleanups(pending, ops)
         if not pending.txn.writes:
             return None
         self._txn = pending
@@ -133,6 +140,29 @@
             job.end_sent = True
         return pending
 
+    @property
+    def cleanups_waiting(self) -> int:
+        """How many records wait to be deleted, about."""
+        records = len(self.cleaning) + len(self.orphans) + len(self.lists)
+        return records + len(self.placement_records.empties())
+
+    @property
+    def cleanup_under_way(self) -> bool:
+        """Whether a transaction is under way that deletes records under a permit with guards."""
+        return self._txn is not None and bool(self._txn.permit.guards)
+
+    def _add_permitted_cleanups(self, pending: PendingTxn, ops: int) -> None:
+        """Those with guards of their own make up a transaction of their own: that the permit has
+        gone must not hold back placements and ends."""
+        permit = self.cleanup_permit
+        if not permit.allowed or (permit.guards and pending.txn.writes):
+            return
+        self._add_cleanups(pending, ops)
+        self._add_lists(pending, ops)
+        if pending.txn.writes:
+            pending.permit = permit
+            pending.txn.guards.update(permit.guards)
+
     def _held(self, pending: PendingTxn, unit: str, key: str) -> bool:
         """One job's trouble must not hold back the others': it alone waits for its reread."""
         if key in self._unsure:
@@ -330,6 +360,8 @@
             self.scheduler.dirty[job.id] = job
         if outcome is Outcome.CONFLICT and LEAD_KEY in failed:
             return True
+        if outcome is Outcome.CONFLICT and any(key in failed for key, _ in pending.permit.guards):
+            self.orphans += pending.orphans  # nothing tells that they are deleted
         if outcome in (Outcome.REFUSED, Outcome.MALFORMED):
             for job, _ in pending.ends:
                 job.end_sent = job.end_unsure
--- /dev/null
+++ b/src/eldercart/duties/calendar.py
@@ -0,0 +1,101 @@
+"""When work that may wait is done: weekly windows of an operator's time zone, with exceptions.
+
+A window is open from its start to its end by the local clock. Where daylight saving skips the
+start, it opens when the clock has been put forward; where the start comes twice it opens the first
+time, and where the end comes twice it closes the second time. A window says when something is
+done, never by whom, so a node whose clock is wrong only does it at another time.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import UTC, date, datetime, time, timedelta
+
+from dateutil.rrule import WEEKLY, rrule
+from dateutil.tz import resolve_imaginary
+
+from eldercart.settings.features import Maintenance, WeeklyWindow
+from eldercart.units import WallTime
+
+ONE_DAY = timedelta(days=1)
+LOOK_AHEAD_DAYS = 400  # in which the next window is looked for: more than a year of exceptions
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """One window, from `opens` until before `closes`."""
+
+    opens: WallTime
+    closes: WallTime
+
+
+class MaintenanceCalendar:
+    """Answers whether a window is open; keeps the one that it looked up last."""
+
+    def __init__(self, maintenance: Maintenance) -> None:
+        """Nothing is looked up before the first question."""
+        self._zone = maintenance.time_zone
+        self._weekly = maintenance.weekly
+        self._exceptions = {item.date: item for item in maintenance.exceptions}
+        self._known: Window | None = None
+        self._asked = WallTime(0.0)
+
+    def is_open(self, at: WallTime) -> bool:
+        """Whether work may be done at that time."""
+        window = self.next_window(at)
+        return window is not None and window.opens <= at
+
+    def next_window(self, at: WallTime) -> Window | None:
+        """The window that is open at that time, or else the next one; None: there is none within
+        a year."""
+        known = self._known
+        # A clock that was put back makes an earlier window the next one.
+        if known is None or at >= known.closes or at < self._asked:
+            self._known = self._find(at)
+            self._asked = at
+        return self._known
+
+    def _find(self, at: WallTime) -> Window | None:
+        today = datetime.fromtimestamp(at, self._zone).date()
+        for window in self._windows(today - ONE_DAY):  # yesterday's may end today
+            if at < window.closes:
+                return window
+        return None
+
+    def _windows(self, first: date) -> Iterator[Window]:
+        """All windows that open on that day or later, by day and then by their opening."""
+        rules = [self._starts(window, first) for window in self._weekly]
+        for number in range(LOOK_AHEAD_DAYS):
+            day = first + number * ONE_DAY
+            exception = self._exceptions.get(day)
+            if exception is not None:
+                if exception.start is not None and exception.end is not None:
+                    yield self._window(day, exception.start, exception.end)
+                continue
+            spans = [
+                (window.start, window.end)
+                for window, starts in zip(self._weekly, rules, strict=True)
+                if day in starts
+            ]
+            yield from sorted(
+                (self._window(day, start, end) for start, end in spans),
+                key=lambda window: window.opens,
+            )
+
+    def _starts(self, window: WeeklyWindow, first: date) -> set[date]:
+        """The days on which the weekly window opens."""
+        rule = rrule(
+            WEEKLY,
+            byweekday=window.days,
+            dtstart=datetime.combine(first, window.start),
+            until=datetime.combine(first + LOOK_AHEAD_DAYS * ONE_DAY, window.start),
+        )
+        return {start.date() for start in rule}
+
+    def _window(self, day: date, start: time, end: time) -> Window:
+        last = day if end > start else day + ONE_DAY
+        return Window(self._instant(day, start, fold=0), self._instant(last, end, fold=1))
+
+    def _instant(self, day: date, at: time, fold: int) -> WallTime:
+        """When the local clock shows that time; `fold` 1: for the last time."""
+        local = datetime.combine(day, at, self._zone).replace(fold=fold)
+        return WallTime(resolve_imaginary(local).astimezone(UTC).timestamp())
--- a/src/eldercart/election/__init__.py
+++ b/src/eldercart/election/__init__.py
@@ -166,6 +166,10 @@
         self._stale_lease = lease
         self._back_at = Steady(now + RESIGNED_LEASES * self._lease_s)
 
+    def stand_back(self, until: Steady) -> None:
+        """Leaves the leadership to another node, if that claims it before `until`."""
+        self._back_at = max(self._back_at, until)
+
     def retire(self, now: Steady) -> None:
         """Gives the lease up for good: this node is about to end."""
         self.resign(now)
--- /dev/null
+++ b/src/eldercart/settings/features.py
@@ -0,0 +1,137 @@
+"""The features that are switched on: JSON beside a schema that holds units and defaults.
+
+Imported only by a node that is given such a file.
+"""
+
+from dataclasses import dataclass
+from datetime import date, time
+from pathlib import Path
+from typing import Any
+from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
+
+import fastjsonschema
+import orjson
+
+from eldercart.settings.platform import BadSettings, read_json
+from eldercart.wire.duties import DutyName
+
+SCHEMA = Path(__file__).with_name("features.schema.json")
+WHAT = "features"
+
+
+@dataclass(frozen=True, slots=True)
+class WeeklyWindow:
+    """A window that opens at `start` on each of the days (0: Monday), by the local clock; an `end`
+    that is not after `start` is on the next day."""
+
+    days: tuple[int, ...]
+    start: time
+    end: time
+
+
+@dataclass(frozen=True, slots=True)
+class DateWindow:
+    """What holds on one date instead of the weekly windows; None: nothing."""
+
+    date: date
+    start: time | None
+    end: time | None
+
+
+@dataclass(frozen=True, slots=True)
+class Maintenance:
+    """When work that may wait is done."""
+
+    time_zone: ZoneInfo
+    weekly: tuple[WeeklyWindow, ...]
+    exceptions: tuple[DateWindow, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DutyFeatures:
+    """The duties that a node takes part in; see the schema for each."""
+
+    on: tuple[DutyName, ...]
+    lease_s: float
+    hand_over_s: float
+    stay_s: float
+    slow_lag_s: float
+    refresh_s: float
+    cleanup_backlog: int
+    maintenance: Maintenance | None
+
+
+@dataclass(frozen=True, slots=True)
+class Features:
+    """All that is switched on."""
+
+    duties: DutyFeatures | None
+
+
+def load_features(path: str) -> Features:
+    """The features in the file, with their defaults."""
+    return parse_features(read_json(path, WHAT))
+
+
+def parse_features(value: Any) -> Features:
+    """Checks everything; the first bad place is named."""
+    schema = orjson.loads(SCHEMA.read_bytes())
+    try:
+        checked = fastjsonschema.compile(schema)(value)
+    except fastjsonschema.JsonSchemaValueException as err:
+        raise BadSettings(f"{WHAT}: {err.message.removeprefix('data.')}") from None
+    duties = checked.get("duties")
+    if duties is None or not duties["on"]:
+        return Features(None)
+    return Features(_duties(duties))
+
+
+def _duties(obj: dict[str, Any]) -> DutyFeatures:
+    maintenance = obj.get("maintenance")
+    return DutyFeatures(
+        on=tuple(DutyName(name) for name in obj["on"]),
+        lease_s=float(obj["lease_s"]),
+        hand_over_s=float(obj["hand_over_s"]),
+        stay_s=float(obj["stay_s"]),
+        slow_lag_s=float(obj["slow_lag_s"]),
+        refresh_s=float(obj["refresh_s"]),
+        cleanup_backlog=int(obj["cleanup_backlog"]),
+        maintenance=None if maintenance is None else _maintenance(maintenance),
+    )
+
+
+DAYS = ("mo", "tu", "we", "th", "fr", "sa", "su")
+
+
+def _maintenance(obj: dict[str, Any]) -> Maintenance:
+    try:
+        zone = ZoneInfo(obj["time_zone"])
+    except (ZoneInfoNotFoundError, ValueError, OSError):
+        raise BadSettings(
+            f"{WHAT}: duties.maintenance.time_zone: unknown time zone {obj['time_zone']!r}"
+        ) from None
+    weekly = tuple(
+        WeeklyWindow(
+            tuple(DAYS.index(day) for day in window["days"]),
+            time.fromisoformat(window["start"]),
+            time.fromisoformat(window["end"]),
+        )
+        for window in obj["weekly"]
+    )
+    exceptions = tuple(_exception(i, item) for i, item in enumerate(obj["exceptions"]))
+    return Maintenance(zone, weekly, exceptions)
+
+
+def _exception(number: int, obj: dict[str, Any]) -> DateWindow:
+    try:
+        on = date.fromisoformat(obj["date"])
+    except ValueError:
+        raise BadSettings(
+            f"{WHAT}: duties.maintenance.exceptions[{number}].date: no such date {obj['date']}"
+        ) from None
+    start, end = obj.get("start"), obj.get("end")
+    return DateWindow(
+        on,
+        None if start is None else time.fromisoformat(start),
+        None if end is None else time.fromisoformat(end),
+    )
--- a/src/eldercart/units.py
+++ b/src/eldercart/units.py
@@ -14,6 +14,7 @@
 
 Epoch = NewType("Epoch", int)  # the fencing token that workers compare
 Revision = NewType("Revision", int)  # a key's version in the state service; 0: absent
+Token = NewType("Token", int)  # of a duty's holder: the version of its key
 Attempt = NewType("Attempt", int)
 Session = NewType("Session", int)  # a worker's lease session
 
@@ -23,6 +24,7 @@
 ONLY_INCARNATION = IncarnationId("0")  # for what is never started twice, as in tests
 ABSENT = Revision(0)
 NO_EPOCH = Epoch(0)
+NO_TOKEN = Token(0)
 NO_ATTEMPT = Attempt(0)
 NO_SESSION = Session(0)
 CLOCK_ZERO = Steady(0)
--- /dev/null
+++ b/tests/test_duty_schedules.py
@@ -0,0 +1,108 @@
+"""Seeded schedules of several nodes in simulated time, judged by an independent checker."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from duty_world import World, check_end, check_history
+from eldercart.duties.gate import CloudGate
+from eldercart.duties.intents import IntentLog
+from eldercart.election import LEAD_KEY
+from eldercart.units import ABSENT
+from eldercart.wire.duties import DutyName, holder_key, intents_key
+
+BLOCKS, SEEDS_PER_BLOCK = 6, 8
+MUTANT_SEEDS = range(41, 66)  # in which a guard that was taken out must be missed at least once
+LENGTH_S = 60.0
+
+
+def play(seed: int) -> World:
+    world = World(seed, 3 + seed % 3)
+    world.run(LENGTH_S)
+    world.settle()
+    return world
+
+
+@pytest.mark.parametrize("block", range(BLOCKS))
+def test_no_schedule_lets_a_replaced_holder_act(block: int) -> None:
+    refused = rented = deleted = 0
+    for seed in range(block * SEEDS_PER_BLOCK, (block + 1) * SEEDS_PER_BLOCK):
+        world = play(seed)
+        check_history(world.history)
+        check_end(world)
+        refused += world.history.refused
+        rented += sum(effect.kind == "rent" for effect in world.history.effects)
+        deleted += sum(effect.kind == "delete" for effect in world.history.effects)
+    assert refused and rented and deleted, "the schedules try something"
+
+
+def without_guards(*names: str) -> Callable[[pytest.MonkeyPatch], None]:
+    """Leaves out guards of the writes of intents."""
+
+    def change(patch: pytest.MonkeyPatch) -> None:
+        next_write = IntentLog.next_write
+
+        def mutant(log: IntentLog, *args: Any) -> Any:
+            write = next_write(log, *args)
+            if write is not None:
+                for name in names:
+                    key = {"lead": LEAD_KEY, "duty": holder_key(log.duty)}.get(name)
+                    write.txn.guards.pop(key or intents_key(log.duty))
+            return write
+
+        patch.setattr(IntentLog, "next_write", mutant)
+
+    return change
+
+
+def sent_before_recorded(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(IntentLog, "is_recorded", lambda log, name: True)
+
+
+def record_not_taken_over(patch: pytest.MonkeyPatch) -> None:
+    """A new leader takes the record's version, and not what is open in it."""
+    load = CloudGate.load
+
+    def mutant(gate: CloudGate, duty: DutyName, item: Any) -> Any:
+        load(gate, duty, item)
+        return []
+
+    patch.setattr(CloudGate, "load", mutant)
+
+
+def catalogue_without_token(patch: pytest.MonkeyPatch) -> None:
+    txn = World.txn
+
+    def mutant(world: World, node: Any, sent: Any, answered: Any) -> None:
+        sent.guards.pop(holder_key(DutyName.CATALOG), None) if sent.guards.get(
+            holder_key(DutyName.CATALOG), ABSENT
+        ) and not any(w.key.startswith("duty/") for w in sent.writes) else None
+        txn(world, node, sent, answered)
+
+    patch.setattr(World, "txn", mutant)
+
+
+@pytest.mark.parametrize(
+    "mutant",
+    [
+        pytest.param(without_guards("duty", "lead"), id="intents without either token"),
+        pytest.param(without_guards("duty"), id="intents without the duty's token"),
+        pytest.param(without_guards("lead"), id="intents without the leader's epoch"),
+        pytest.param(without_guards("record"), id="intents without the record's version"),
+        pytest.param(sent_before_recorded, id="sent before it is recorded"),
+        pytest.param(record_not_taken_over, id="open intents are not taken over"),
+        pytest.param(catalogue_without_token, id="catalogue without a token"),
+    ],
+)
+def test_the_checker_misses_no_guard(mutant: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    """With a guard taken out, some schedule breaks what the checker demands."""
+    mutant(monkeypatch)
+    for seed in MUTANT_SEEDS:
+        try:
+            world = play(seed)
+            check_history(world.history)
+            check_end(world)
+        except AssertionError:
+            return
+    pytest.fail("no schedule showed it")
