--- a/src/eldercart/duties/calendar.py
+++ b/src/eldercart/duties/calendar.py
@@ -7,12 +7,12 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from datetime import UTC, date, datetime, time, timedelta
 
 from dateutil.rrule import WEEKLY, rrule
 from dateutil.tz import resolve_imaginary
 
+from eldercart.duties.window import Window
 from eldercart.settings.features import Maintenance, WeeklyWindow
 from eldercart.units import WallTime
 
@@ -20,14 +20,6 @@
 LOOK_AHEAD_DAYS = 400  # in which the next window is looked for: more than a year of exceptions
 
 
-@dataclass(frozen=True, slots=True)
-class Window:
-    """One window, from `opens` until before `closes`."""
-
-    opens: WallTime
-    closes: WallTime
-
-
 class MaintenanceCalendar:
     """Answers whether a window is open; keeps the one that it looked up last."""
 
--- a/src/eldercart/duties/report.py
+++ b/src/eldercart/duties/report.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from eldercart.duties.board import DutyEntry
-from eldercart.duties.calendar import Window
 from eldercart.duties.preference import AFFINITY, Affinity
+from eldercart.duties.window import Window
 from eldercart.units import NodeId, WallTime
 from eldercart.wire.duties import DutyName, Intent
 
--- /dev/null
+++ b/src/eldercart/duties/window.py
@@ -0,0 +1,13 @@
+"""A maintenance window, apart from the calendar that finds it and from that one's libraries."""
+
+from dataclasses import dataclass
+
+from eldercart.units import WallTime
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """One window, from `opens` until before `closes`."""
+
+    opens: WallTime
+    closes: WallTime
--- a/src/eldercart/net/duty_service.py
+++ b/src/eldercart/net/duty_service.py
@@ -9,7 +9,6 @@
 from eldercart.core.controller import Controller
 from eldercart.core.records import CleanupPermit
 from eldercart.core.rental import Offer, RentalRequest
-from eldercart.duties.calendar import MaintenanceCalendar
 from eldercart.duties.gate import CloudGate, Path, Route
 from eldercart.duties.membership import (
     Acquire,
@@ -25,7 +24,7 @@
 from eldercart.net.duty_calls import DutyCalls
 from eldercart.net.duty_catalog import CatalogRefresh
 from eldercart.net.duty_requests import FIRST_PART, DutyRequests
-from eldercart.settings.features import DutyFeatures
+from eldercart.settings.features import DutyFeatures, Maintenance
 from eldercart.units import NO_EPOCH, LeaseId, NodeId, Revision, Steady, WallTime
 from eldercart.wire.duties import (
     INTENTS,
@@ -39,6 +38,7 @@
 from eldercart.wire.state import Item, Txn
 
 if TYPE_CHECKING:
+    from eldercart.duties.calendar import MaintenanceCalendar
     from eldercart.net.node import Node
 
 log = logging.getLogger("eldercart.duties")
@@ -50,6 +50,15 @@
 STAND_BACK_S = 1.0  # for which others leave the leadership to the node that it is handed over to
 
 
+def _calendar(maintenance: Maintenance | None) -> "MaintenanceCalendar | None":
+    """Imported only where there are windows: a small part of a core starts faster without."""
+    if maintenance is None:
+        return None
+    from eldercart.duties.calendar import MaintenanceCalendar
+
+    return MaintenanceCalendar(maintenance)
+
+
 class DutyService:
     """Owns the membership and the parts that work under its tokens."""
 
@@ -63,8 +72,7 @@
             node.settings.label, node.incarnation, features.on, features.lease_s,
             node.tuning.drift_margin, features.hand_over_s, features.stay_s,
         )  # fmt: skip
-        maintenance = features.maintenance
-        self.calendar = None if maintenance is None else MaintenanceCalendar(maintenance)
+        self.calendar = _calendar(features.maintenance)
         self.calls = DutyCalls(self)
         self.requests = DutyRequests(self)
         node.user_service.serve_under(FIRST_PART, self.requests.route)
--- a/src/eldercart/settings/features.py
+++ b/src/eldercart/settings/features.py
@@ -6,8 +6,7 @@
 from dataclasses import dataclass
 from datetime import date, time
 from pathlib import Path
-from typing import Any
-from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
+from typing import TYPE_CHECKING, Any
 
 import fastjsonschema
 import orjson
@@ -15,6 +14,9 @@
 from eldercart.settings.platform import BadSettings, read_json
 from eldercart.wire.duties import DutyName
 
+if TYPE_CHECKING:
+    from zoneinfo import ZoneInfo
+
 SCHEMA = Path(__file__).with_name("features.schema.json")
 WHAT = "features"
 
@@ -42,7 +44,7 @@
 class Maintenance:
     """When work that may wait is done."""
 
-    time_zone: ZoneInfo
+    time_zone: "ZoneInfo"
     weekly: tuple[WeeklyWindow, ...]
     exceptions: tuple[DateWindow, ...]
 
@@ -104,6 +106,9 @@
 
 
 def _maintenance(obj: dict[str, Any]) -> Maintenance:
+    # Imported only where there are windows: a small part of a core starts faster without.
+    from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
+
     try:
         zone = ZoneInfo(obj["time_zone"])
     except (ZoneInfoNotFoundError, ValueError, OSError):
