--- a/src/eldercart/core/cloudwork.py
+++ b/src/eldercart/core/cloudwork.py
@@ -315,47 +315,45 @@
     def _rented(
         self, rental_request: RentalRequest, status: int | None, body: bytes, now: Steady
     ) -> None:
-        scheduler, offer = self.scheduler, rental_request.offer
+        offer = rental_request.offer
         if status == 200:
-            machines = cloud.parse_rented(body)
-            scheduler.rental.rental_requests.pop(rental_request.name, None)
-            for machine in machines:
-                if scheduler.fleet.get(machine) is None and not scheduler.fleet.is_deleted(machine):
-                    kind = scheduler.types.get(offer.type) or unknown_type(offer.type)
-                    scheduler.fleet.add(
-                        machine,
-                        kind,
-                        offer.zone,
-                        offer.spot,
-                        MachineState.BOOTING,
-                        rental_request.sent,
-                        now,
-                    )
-            log.info(
-                "rented type=%s zone=%s spot=%s asked=%d got=%d request=%s",
-                offer.type,
-                offer.zone,
-                offer.spot,
-                rental_request.number,
-                len(machines),
-                rental_request.name,
-            )
-            if len(machines) < rental_request.number:
-                scheduler.rental.refuse(offer, now)
-            scheduler.rental_due = now
+            self._got(rental_request, cloud.parse_rented(body), now)
         elif status == 503 and no_capacity(body):
-            scheduler.rental.rental_requests.pop(rental_request.name, None)
-            scheduler.rental.refuse(offer, now)
-            scheduler.rental_due = now
+            self._refused(rental_request, now)
+            self.scheduler.rental_due = now
             log.info("refused type=%s zone=%s spot=%s", offer.type, offer.zone, offer.spot)
         elif status == 400:
-            scheduler.rental.rental_requests.pop(rental_request.name, None)
-            scheduler.rental.refuse(offer, now)
+            self._refused(rental_request, now)
             log.error("rental malformed request=%s", rental_request.name)
         else:
             # Nobody knows whether it was carried out: the same name gets the same answer.
             self._rental_requests.append(rental_request)
 
+    def _refused(self, rental_request: RentalRequest, now: Steady) -> None:
+        rental = self.scheduler.rental
+        rental.rental_requests.pop(rental_request.name, None)
+        rental.refuse(rental_request.offer, now)
+
+    def _got(self, rental_request: RentalRequest, machines: list[MachineId], now: Steady) -> None:
+        """The machines that the cloud has rented: as many as were asked for, or fewer."""
+        scheduler, offer = self.scheduler, rental_request.offer
+        scheduler.rental.rental_requests.pop(rental_request.name, None)
+        for machine in machines:
+            if scheduler.fleet.get(machine) is None and not scheduler.fleet.is_deleted(machine):
+                kind = scheduler.types.get(offer.type) or unknown_type(offer.type)
+                scheduler.fleet.add(
+                    machine, kind, offer.zone, offer.spot, MachineState.BOOTING,
+                    rental_request.sent, now,
+                )  # fmt: skip
+        log.info(
+            "rented type=%s zone=%s spot=%s asked=%d got=%d request=%s",
+            offer.type, offer.zone, offer.spot, rental_request.number, len(machines),
+            rental_request.name,
+        )  # fmt: skip
+        if len(machines) < rental_request.number:
+            scheduler.rental.refuse(offer, now)
+        scheduler.rental_due = now
+
     def _listed(self, listed: list[cloud.ListedMachine], now: Steady) -> None:
         scheduler = self.scheduler
         for item in listed:
--- a/src/eldercart/core/controller.py
+++ b/src/eldercart/core/controller.py
@@ -31,7 +31,6 @@
     CLEANUP,
     JOB,
     Job,
-    Phase,
     Placement,
     asked_at,
     end_of,
@@ -45,6 +44,7 @@
 from eldercart.core.reports import Reports
 from eldercart.core.scheduler_state import FinishedJob, SchedulerState
 from eldercart.core.silence import Probe, Silence
+from eldercart.core.summary import log_summary
 from eldercart.election import LEAD_KEY
 from eldercart.settings import NodeSettings, Tuning
 from eldercart.units import (
@@ -339,7 +339,7 @@
             self.cloud.rent(now)
         if now >= self._summary_due:
             self._summary_due = Steady(now + 10.0)
-            self._summary(now)
+            log_summary(self.scheduler, cleaning=len(self.records.cleaning))
 
     def tick_took(self, seconds: float) -> None:
         """The last tick took so long; what it did is repeated at a pace that this sets."""
@@ -356,60 +356,6 @@
         """One pass of placing."""
         self.planner.plan(now)
 
-    def _summary(self, now: Steady) -> None:
-        scheduler = self.scheduler
-        waiting: dict[str, float] = {}
-        for job in self.jobs.jobs.values():
-            if job.open:
-                spec = job.spec
-                waiting[spec.klass] = waiting.get(spec.klass, 0.0) + job.pending * spec.cpus
-        log.info(
-            "prediction hits=%d misses=%d unused=%d booked=%d %s",
-            scheduler.predictor.hits,
-            scheduler.predictor.misses,
-            scheduler.predictor.unused,
-            len(scheduler.predictor.bookings),
-            " ".join(
-                f"{origin.value}={tally}" for origin, tally in scheduler.predictor.tallies.items()
-            ),
-        )
-        up = [m for m in self.fleet.machines.values() if m.state is MachineState.UP]
-        total = sum(m.type.cpus for m in up)
-        usable = sum(m.type.cpus for m in up if m.usable)
-        free = sum(m.free_cpus for m in up if m.usable)
-        running = sum(job.running * job.spec.cpus for job in self.jobs.jobs.values())
-        queued = sum(job.queued * job.spec.cpus for job in self.jobs.jobs.values())
-        booting = sum(1 for m in self.fleet.machines.values() if m.state is MachineState.BOOTING)
-        want_ordinary, want_any = scheduler.rental.targets()
-        starting: dict[str, float] = {}
-        for m in up:
-            for p in m.placed.values():
-                if p.phase is not Phase.RUNNING and p.phase is not Phase.ENDED:
-                    name = "stopping" if p.stopping else p.phase.name.lower()
-                    starting[name] = starting.get(name, 0.0) + p.job.spec.cpus
-        log.info(
-            "summary jobs=%d up=%d booting=%d cpus=%g usable=%g running=%g free=%g queued=%g "
-            "starting=%s waiting=%s want=%.0f/%.0f work=%.0f lost=%.0f ending=%d dirty=%d "
-            "cleaning=%d",
-            len(self.jobs.jobs),
-            len(up),
-            booting,
-            total,
-            usable,
-            running,
-            free,
-            queued,
-            starting,
-            waiting,
-            want_ordinary,
-            want_any,
-            scheduler.work_done,
-            scheduler.work_lost,
-            len(scheduler.ending),
-            len(scheduler.dirty),
-            len(self.records.cleaning),
-        )
-
     # ------------------------------------------------------------------ state service
 
     def next_txn(self, now: Steady, ops: int) -> PendingTxn | None:
--- a/src/eldercart/core/planner.py
+++ b/src/eldercart/core/planner.py
@@ -12,6 +12,7 @@
 from eldercart.core import placement as rules
 from eldercart.core.fleet import EPS, Machine
 from eldercart.core.jobs import Job, Placement
+from eldercart.core.pacing import RememberedCost
 from eldercart.core.scheduler_state import SchedulerState
 from eldercart.units import NEVER, JobId, MachineId, Steady
 from eldercart.wire.users import JobSpec
@@ -37,19 +38,19 @@
         self.scheduler = scheduler
         self.waiting: list[Job] = []  # of jobs that found no room in the last pass
         self._planned = NEVER
-        self._cost = 0.0  # seconds that a pass takes, as told by the adapter
+        self._cost = RememberedCost(MOST_COST_S)  # of a pass, as told by the adapter
         self._turn = 0
 
     def cost(self, seconds: float) -> None:
         """The last pass took so long; the pace of the next ones follows from it."""
-        self._cost = max(min(seconds, MOST_COST_S), 0.7 * self._cost)
+        self._cost.took(seconds)
 
     def due(self, now: Steady, unwritten: int) -> bool:
         """`unwritten`: records that hold placements and wait to be written. As long as there are
         many, to place more would only spread each freed place over more records; what was
         written ahead bridges the time."""
         since = now - self._planned
-        least = max(self.scheduler.tuning.plan_interval_s, PACE * self._cost)
+        least = max(self.scheduler.tuning.plan_interval_s, PACE * self._cost.seconds)
         if unwritten > UNWRITTEN_S * self.scheduler.settings.state_write_rps:
             least = max(least, 1.0)
         return since >= max(1.0, least) or (self.scheduler.plan_wanted and since >= least)
--- a/src/eldercart/net/catalog.py
+++ b/src/eldercart/net/catalog.py
@@ -6,6 +6,7 @@
 from eldercart.core.controller import Controller
 from eldercart.core.memory import FILL
 from eldercart.election import LEAD_KEY
+from eldercart.net.serving import serves
 from eldercart.net.store import FOR_PLACING
 from eldercart.units import NEVER, Revision, Steady
 from eldercart.wire import cloud
@@ -79,7 +80,7 @@
                 log.error("catalogue refused by the state service status=%s", status)
             elif status == 200:
                 self.exists = True
-            elif node.leader_service.controller is controller:
+            elif serves(node, controller):
                 # Its own submissions go on being judged; a repeat at every turn of the loop would
                 # use up the changes just when there are too few.
                 self.stored = False
--- a/src/eldercart/net/cloud_calls.py
+++ b/src/eldercart/net/cloud_calls.py
@@ -6,6 +6,7 @@
 from eldercart.core.controller import CloudCall, Controller, Delete, GetCatalog, ListPage, Rent
 from eldercart.net.buckets import Bucket
 from eldercart.net.client import HttpClient
+from eldercart.net.serving import serves
 from eldercart.units import Steady
 from eldercart.wire import cloud
 
@@ -60,7 +61,7 @@
         def done(status: int | None, data: bytes) -> None:
             if answered is not None:
                 answered(status, data)
-            if leader_service.controller is controller:
+            if serves(self._node, controller):
                 controller.cloud_done(call, status, data, self._node.clock())
                 leader_service.process_events_soon()
 
--- a/src/eldercart/net/job_records.py
+++ b/src/eldercart/net/job_records.py
@@ -14,6 +14,7 @@
     list_reference,
     resolve,
 )
+from eldercart.net.serving import serves
 from eldercart.units import JobId, Revision
 from eldercart.wire import Malformed
 from eldercart.wire.state import Item
@@ -44,18 +45,15 @@
         """A new leadership begins: reads of the one before don't count any more."""
         self._resolving.clear()
 
-    def _serves(self, controller: Controller) -> bool:
-        return self._node.leader_service.controller is controller
-
     # -- the watch
 
     def watch(self, controller: Controller, after: Revision) -> None:
         """Learns each record that is created after that revision."""
-        if not self._serves(controller):
+        if not serves(self._node, controller):
             return
 
         def got(status: int | None, revision: Revision, events: list[Any]) -> None:
-            if not self._serves(controller):
+            if not serves(self._node, controller):
                 return
             if status == 200:
                 self._take_events(events)
@@ -76,11 +74,11 @@
 
     def _reread(self, controller: Controller) -> None:
         """More has changed than the state service keeps: reads all records and watches on."""
-        if not self._serves(controller):
+        if not serves(self._node, controller):
             return
 
         def got(items: list[Item] | None, revision: Revision) -> None:
-            if not self._serves(controller):
+            if not serves(self._node, controller):
                 return
             if items is None:
                 reactor.callLater(WATCH_AGAIN_S, self._reread, controller)
@@ -108,7 +106,7 @@
 
     def _resolve(self, controller: Controller, job: JobId, item: Item, pause: float) -> None:
         """Reads the list that the record refers to, until it is there."""
-        if not self._serves(controller):
+        if not serves(self._node, controller):
             return
         reference = list_reference(item.value)
         known = job in controller.jobs or self._node.user_service.final_of(job) is not None
@@ -117,7 +115,7 @@
             return
 
         def got(lists: list[Item] | None, revision: Revision) -> None:
-            if not self._serves(controller):
+            if not serves(self._node, controller):
                 return
             whole = None if lists is None else resolve(job, item, lists)
             if whole is None:
--- a/src/eldercart/net/store_work.py
+++ b/src/eldercart/net/store_work.py
@@ -5,6 +5,7 @@
 
 from eldercart.core.controller import Controller, Outcome, PendingTxn
 from eldercart.core.jobs import END, end_of
+from eldercart.net.serving import serves
 from eldercart.net.store import FOR_ENDS, FOR_MEMORY, FOR_PLACING, FOR_POLLS
 from eldercart.units import JobId, Revision, Steady
 from eldercart.wire.state import Item
@@ -42,9 +43,6 @@
         self._write_next(controller, now)
         self._write_memory(controller, now)
 
-    def _serves(self, controller: Controller) -> bool:
-        return self._node.leader_service.controller is controller
-
     # -- reads
 
     def _reread_records(self, controller: Controller, now: Steady) -> None:
@@ -57,7 +55,7 @@
         controller.reread.discard(key)
 
         def done(ok: bool, item: Item | None) -> None:
-            if not self._serves(controller):
+            if not serves(self._node, controller):
                 return
             controller.reread_under_way.discard(key)
             if ok:
@@ -81,7 +79,7 @@
             return
 
         def done(ok: bool, item: Item | None) -> None:
-            if not self._serves(controller):
+            if not serves(self._node, controller):
                 return
             controller.end_read(job, None if item is None else end_of(item.value), node.clock())
             node.leader_service.process_events_soon()
@@ -105,7 +103,7 @@
         node.store.writes.force(now, len(pending.txn.writes))
 
         def done(status: int | None, revision: Revision, failed: tuple[str, ...]) -> None:
-            if not self._serves(controller):
+            if not serves(self._node, controller):
                 return
             outcome = _outcome_of(status, pending)
             answered_at = node.clock()
--- a/src/eldercart/net/worker_calls.py
+++ b/src/eldercart/net/worker_calls.py
@@ -6,6 +6,7 @@
 
 from eldercart.core.controller import Controller, Order
 from eldercart.net.client import WorkerClient
+from eldercart.net.serving import serves
 from eldercart.units import MachineId, Steady
 from eldercart.wire import Malformed, workers
 from eldercart.wire.checks import load_object
@@ -66,7 +67,7 @@
         """`told(status, report)` if that machine answers with its report."""
 
         def got(status: int | None, data: bytes) -> None:
-            if self._node.leader_service.controller is not controller:
+            if not serves(self._node, controller):
                 return
             if status not in (EXECUTED, OTHER_SESSION):
                 return
