--- a/tests/duty_cluster.py
+++ b/tests/duty_cluster.py
@@ -198,6 +198,7 @@
             label: f"127.0.0.1:{ports[2 * i + 1]}" for i, label in enumerate(self.labels)
         }
         self.features: dict[str, Any] = dict.fromkeys(self.labels, features)
+        self.roots: dict[str, Path] = dict.fromkeys(self.labels, ROOT)  # of the sources that run
         (folder / "operator.json").write_text(json.dumps(TUNING))
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.submitted = 0
@@ -225,8 +226,9 @@
         settings["settings"]["cloud"]["rps"] = 50
         config = self.folder / f"{label}.json"
         config.write_text(json.dumps(settings))
-        command = [sys.executable, str(ROOT / "run.py")]
-        if self.falsified:
+        root = self.roots[label]
+        command = [sys.executable, str(root / "run.py")]
+        if self.falsified and root == ROOT:
             offset = 3600.0 * (self.labels.index(label) - 1)
             command = [sys.executable, str(ROOT / "tests" / "falsified_node.py"), str(offset)]
         command += [
@@ -306,6 +308,13 @@
         self.processes[label].kill()
         self.processes[label].wait()
 
+    def replace(self, label: str, features: Any, root: Path = ROOT) -> None:
+        """Ends the node and starts it with other features, or another version."""
+        self.kill(label)
+        self.features[label], self.roots[label] = features, root
+        self.start(label)
+        until(lambda: call(self.fronts[label], "GET", "/healthz")[0] == 200)
+
     def effects(self) -> int:
         with self.region.lock:
             return len(self.region.history.effects)
--- a/tests/test_duty_loopback.py
+++ b/tests/test_duty_loopback.py
@@ -4,6 +4,7 @@
 No verdict hangs on how long anything takes: each wait ends when its condition holds."""
 
 import copy
+import shutil
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -13,7 +14,8 @@
 from duty_cluster import FEATURES, Cluster, Point
 from duty_world import check_history
 from eldercart.cli import main
-from region import call, until
+from region import ROOT, call, until
+from versions import history, record
 
 ROUNDS = 2
 
@@ -116,32 +118,49 @@
         assert main(["duties", "list", "--server", cluster.fronts["drover-0"]]) == 1
         for label in cluster.labels:
             assert not cluster.holder("rental"), "not before every node takes part"
-            cluster.features[label] = FEATURES
-            cluster.kill(label)
-            cluster.start(label)
-            until(lambda front=cluster.fronts[label]: call(front, "GET", "/healthz")[0] == 200)
+            cluster.replace(label, FEATURES)
         cluster.wait_for_duties()
         until(lambda: any(k.startswith("intent/") for k in cluster.region.store.keys))
         # Back: the first node without the feature ends the duties.
         follower = next(label for label in cluster.labels if label != cluster.leader())
-        cluster.features[follower] = None
-        cluster.kill(follower)
-        cluster.start(follower)
+        cluster.replace(follower, None)
         until(lambda: not any(cluster.holder(d) for d in ("rental", "return", "catalog")))
         effects = cluster.effects()
         until(lambda: cluster.effects() > effects)
         # And forth again, with one duty only.
         some = copy.deepcopy(FEATURES)
         some["duties"]["on"] = ["return"]
-        cluster.features[follower] = some
-        cluster.kill(follower)
-        cluster.start(follower)
+        cluster.replace(follower, some)
         until(lambda: cluster.holder("return") is not None)
         assert cluster.holder("rental") is None and cluster.holder("catalog") is None
     finally:
         cluster.close()
 
 
+@pytest.mark.parametrize("short", record.VERSIONS)
+def test_an_earlier_version_stands_beside(short: str, tmp_path: Path) -> None:
+    """It knows no duties, and works on while they come into force and end around it."""
+    earlier = history.tree(short)
+    shutil.copy(ROOT / "run.py", earlier)
+    (earlier / "target").mkdir(exist_ok=True)
+    if not (earlier / "target" / "deps").exists():
+        (earlier / "target" / "deps").symlink_to(ROOT / "target" / "deps")
+    cluster = Cluster(tmp_path)
+    try:
+        cluster.wait_for_duties()
+        for label in (cluster.leader() or "", cluster.labels[0]):
+            cluster.replace(label, None, earlier)
+            until(lambda: not any(cluster.holder(d) for d in ("rental", "return", "catalog")))
+            for _ in range(3):
+                effects = cluster.effects()
+                until(lambda before=effects: cluster.effects() > before)
+            assert call(cluster.fronts[label], "GET", "/duties")[0] == 404
+            cluster.replace(label, FEATURES)
+            cluster.wait_for_duties()
+    finally:
+        cluster.close()
+
+
 def test_all_nodes_die_with_intents_open(cluster: Cluster) -> None:
     """What is recorded is finished by whoever leads next, under the same names."""
     region = cluster.region
