Maintenance windows: that there is none within a year is remembered for an hour

Cause, found by reading: with exceptions on every date the calendar looked for a window over 400 days at each turn of the leader's loop. The test counts the look-ups.

--- a/src/eldercart/duties/calendar.py
+++ b/src/eldercart/duties/calendar.py
@@ -17,6 +17,7 @@
 from eldercart.units import WallTime
 
 ONE_DAY = timedelta(days=1)
+NONE_KEPT_S = 3600.0  # for which it counts that there is no window within a year
 LOOK_AHEAD_DAYS = 400  # in which the next window is looked for: more than a year of exceptions
 
 
@@ -29,7 +30,7 @@
         self._weekly = maintenance.weekly
         self._exceptions = {item.date: item for item in maintenance.exceptions}
         self._known: Window | None = None
-        self._asked = WallTime(0.0)
+        self._asked: WallTime | None = None  # when that was
 
     def is_open(self, at: WallTime) -> bool:
         """Whether work may be done at that time."""
@@ -39,13 +40,18 @@
     def next_window(self, at: WallTime) -> Window | None:
         """The window that is open at that time, or else the next one; None: there is none within
         a year."""
-        known = self._known
-        # A clock that was put back makes an earlier window the next one.
-        if known is None or at >= known.closes or at < self._asked:
+        if not self._is_known(at):
             self._known = self._find(at)
             self._asked = at
         return self._known
 
+    def _is_known(self, at: WallTime) -> bool:
+        if self._asked is None or at < self._asked:
+            return False  # a clock that was put back makes an earlier window the next one
+        if self._known is None:
+            return at - self._asked < NONE_KEPT_S
+        return at < self._known.closes
+
     def _find(self, at: WallTime) -> Window | None:
         today = datetime.fromtimestamp(at, self._zone).date()
         for window in self._windows(today - ONE_DAY):  # yesterday's may end today
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -111,6 +111,11 @@
     c = calendar("UTC", (ALL_DAYS, "03:00", "04:00"), exceptions=days)
     assert c.next_window(instant("2026-02-01T00:00")) is None
     assert not c.is_open(instant("2026-02-01T03:30"))
+    looked_up: list[WallTime] = []
+    c._find = looked_up.append  # type: ignore[method-assign,assignment]
+    assert not c.is_open(instant("2026-02-01T04:00")), "it is not looked for all the time"
+    assert looked_up == []
+    assert not c.is_open(instant("2026-02-01T06:00")) and len(looked_up) == 1
 
 
 WINDOWS = {"time_zone": "UTC", "weekly": [{"days": ["mo"], "start": "01:00", "end": "02:00"}]}
