Clean-up shares transactions again; a refused token is not used before it is read who holds

Change: clean-up goes into the transaction with ends and placements as before, with its guard. That the guard fails is rare, since a duty of the leader is drained before it is released; after such a refusal no token of this node is used until the board has been read.

--- a/src/eldercart/core/records.py
+++ b/src/eldercart/core/records.py
@@ -152,14 +152,14 @@
         return self._txn is not None and bool(self._txn.permit.guards)
 
     def _add_permitted_cleanups(self, pending: PendingTxn, ops: int) -> None:
-        """Those with guards of their own make up a transaction of their own: that the permit has
-        gone must not hold back placements and ends."""
-        permit = self.cleanup_permit
-        if not permit.allowed or (permit.guards and pending.txn.writes):
+        """They share the transaction with what is urgent: in one of their own they would wait for
+        as long as there is something to place, and ended jobs would fill the placement records."""
+        permit, before = self.cleanup_permit, len(pending.txn.writes)
+        if not permit.allowed:
             return
         self._add_cleanups(pending, ops)
         self._add_lists(pending, ops)
-        if pending.txn.writes:
+        if len(pending.txn.writes) > before:
             pending.permit = permit
             pending.txn.guards.update(permit.guards)
 
--- a/src/eldercart/duties/membership.py
+++ b/src/eldercart/duties/membership.py
@@ -146,6 +146,7 @@
         self._deadline = NEVER
         self._renewal_due = NEVER
         self._read_wanted = True
+        self._doubted = False  # a token of this node was refused, and nothing was read since
         self._pause = NEVER
         self._under_way: Action | None = None
         self._sent = NEVER
@@ -156,7 +157,7 @@
         """The token under which new work may begin; None while there is none. That the lease has
         time left is no proof of anything: the state service compares the token."""
         tenure = self._tenures[duty]
-        if tenure.state is DutyState.HOLDER and now < self._deadline:
+        if tenure.state is DutyState.HOLDER and now < self._deadline and not self._doubted:
             return tenure.token
         return None
 
@@ -390,8 +391,10 @@
     def disproved(self) -> None:
         """A write under a token of this node was refused: another node holds the duty."""
         self._read_wanted = True
+        self._doubted = True
 
     def read(self) -> None:
         """The board has taken a read."""
         self._under_way = None
         self._read_wanted = False
+        self._doubted = False
--- a/tests/test_duty_service.py
+++ b/tests/test_duty_service.py
@@ -37,6 +37,7 @@
         self.status: int | None = 200  # what everything is answered with; 200: as it should be
         self.paths: list[str] = []
         self.writes: list[list[dict[str, Any]]] = []
+        self.guards: list[list[str]] = []
 
     def request(self, method: bytes, path: str, body: Any, timeout: float, answer: Any) -> None:
         if path.startswith("/follow"):
@@ -53,6 +54,7 @@
             status, value = store.txn(body)
             if status == 200:
                 self.writes.append(orjson.loads(body)["writes"])
+                self.guards.append([guard["path"] for guard in orjson.loads(body)["guards"]])
             return status, orjson.dumps(value)
         if path == "/holds":
             store.next_lease += 1
@@ -278,11 +280,35 @@
     place.node.leader_service.process_events()
     records = place.controller.records
     assert "gone/wk-000009" in place.sim.keys, "its token was replaced"
+    duties = place.node.duties
+    assert duties is not None
+    permit = duties.cleanup_permit(place.controller, place.clock())
+    assert not permit.allowed, "until it has been read who holds the duty"
     assert records.orphans, "it is still to be deleted"
     place.run(1.0)  # this node leads, so it takes the duty anew, under a higher token
     assert "gone/wk-000009" not in place.sim.keys
 
 
+def test_clean_up_does_not_wait_for_an_idle_moment() -> None:
+    """There is always something to write on a busy day: in transactions of its own, clean-up
+    would never come to its turn, and ended jobs would fill the placement records."""
+    place = Place(ALL)
+    place.lead()
+    records = place.controller.records
+    busy: list[int] = []
+
+    def add_ends(pending: Any, jobs: Any, ops: int) -> bool:
+        busy.append(len(busy))
+        pending.txn.writes.append(Put(f"end/wk-{len(busy):06d}", {"e": "done", "n": 1}))
+        return True
+
+    records._add_ends = add_ends
+    ended_job(place)
+    place.node.leader_service.process_events()
+    assert "gone/wk-000009" not in place.sim.keys
+    assert holder_key(DutyName.CLEANUP) in place.service.guards[-1]
+
+
 def test_the_holder_stores_a_changed_catalogue() -> None:
     place = Place(ALL, refresh_s=5.0)
     place.lead()
