Duties: intents do not starve behind placements

Cause: intents were left the same reserve of tokens as placements, which take all that is above it at each turn of the leader's loop.

Change: intents take from the reserve of ends, and need one token. The test has a leader whose placements leave nothing; it fails with the reserve of placements.

--- a/src/eldercart/net/duty_calls.py
+++ b/src/eldercart/net/duty_calls.py
@@ -10,7 +10,7 @@
 from eldercart.duties.gate import CloudGate, Path, Route, duty_of_call
 from eldercart.duties.intents import IntentWrite, WriteOutcome
 from eldercart.net.cloud_calls import Answered, CloudCalls
-from eldercart.net.store import FOR_PLACING
+from eldercart.net.store import FOR_ENDS
 from eldercart.units import Revision, Steady, WallTime
 from eldercart.wire.duties import DutyName, holder_key, intents_key
 from eldercart.wire.state import Item
@@ -28,7 +28,6 @@
     429: WriteOutcome.REFUSED,
     503: WriteOutcome.REFUSED,
 }  # any other status, or none: unknown
-WRITTEN_AT_ONCE = 2  # changes, one for each record of intents
 
 
 class DutyCalls:
@@ -90,9 +89,11 @@
         routes: dict[DutyName, Route], now: Steady,
     ) -> None:  # fmt: skip
         store = self._node.store
+        # From the same reserve as placements nothing would be left on a busy day: those take all
+        # that is above it at each turn of the loop, and nothing would be rented or returned.
         may_write = (
-            store.requests.available(now, FOR_PLACING) >= 1
-            and store.writes.available(now, FOR_PLACING) >= WRITTEN_AT_ONCE
+            store.requests.available(now, FOR_ENDS) >= 1
+            and store.writes.available(now, FOR_ENDS) >= 1
         )
         out = gate.process(routes, may_write, now)
         for call in out.send:
--- a/tests/test_duty_service.py
+++ b/tests/test_duty_service.py
@@ -14,6 +14,7 @@
 from eldercart.core.jobs import Phase, Placement
 from eldercart.duties.intents import COMPACT_S
 from eldercart.net.node import Node
+from eldercart.net.store import FOR_PLACING
 from eldercart.settings import load_tuning
 from eldercart.settings.features import parse_features
 from eldercart.settings.platform import parse_platform
@@ -211,6 +212,25 @@
     assert "/machines" not in paths
 
 
+def test_intents_are_written_although_placements_take_what_they_can() -> None:
+    """Placements leave nothing above their own reserve, at each turn of the loop."""
+    place = Place(ALL)
+    place.lead()
+    writes = place.node.store.writes
+    take_all = place.node.leader_service._store_work.process_events
+
+    def place_all(controller: Any, now: Steady) -> None:
+        take_all(controller, now)
+        writes.force(now, max(0, writes.available(now, FOR_PLACING)))
+
+    place.node.leader_service._store_work.process_events = place_all  # type: ignore[method-assign]
+    place.machine("n-000007")
+    for _ in range(20):
+        place.clock.now += 0.02
+        place.node.leader_service.process_events()
+    assert place.deleted() == ["n-000007"]
+
+
 def overdue(place: Place, name: str) -> None:
     """A cancelled task that must be gone by now may be on that machine."""
     m = place.machine(name)
