--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -126,7 +126,7 @@
     lines = [line.strip() for line in README.read_text().splitlines()]
     commands = [line.partition("run.py ")[2].split() for line in lines if "run.py " in line]
     assert {command[0] for command in commands} == {
-        "check-settings", "serve", "submit", "status", "cancel",
+        "check-settings", "serve", "submit", "status", "cancel", "duties",
     }  # fmt: skip
     for command in commands:
         args = parser().parse_args(command)
