Duties: one share of a value, one look-up of a call's log, no count of records within windows

The share of a value that a record may fill stood twice (core.memory.FILL), the log of a call was looked up in three places, and waiting records were counted at each turn of the leader's loop although that matters only outside maintenance windows.

--- a/src/eldercart/duties/gate.py
+++ b/src/eldercart/duties/gate.py
@@ -84,7 +84,7 @@
     def admit(self, call: Rent | Delete, wall: WallTime, urgent: bool = True) -> Rent | Delete:
         """Takes a call whose intents are to be recorded; returns it, cut to what the record can
         take. One that is not urgent may wait a little for others."""
-        log = self.logs[duty_of_call(call) or DutyName.RETURN]
+        log = self._log_of(call)
         intents = _intents_of(call, wall)
         if isinstance(call, Delete):
             most = max(1, log.room_for(intents))
@@ -94,6 +94,9 @@
         self._waiting[log.duty].append(_Waiting(call, intents))
         return call
 
+    def _log_of(self, call: Rent | Delete) -> IntentLog:
+        return self.logs[DutyName.RENTAL if isinstance(call, Rent) else DutyName.RETURN]
+
     def has_room(self, duty: DutyName) -> bool:
         """Whether the duty's record can take one more intent of the usual size."""
         log = self.logs[duty]
@@ -102,7 +105,7 @@
 
     def answered(self, call: Rent | Delete, final: bool, now: Steady) -> None:
         """The cloud's answer to a call that was sent; not `final`: there was none, or trouble."""
-        log = self.logs[duty_of_call(call) or DutyName.RETURN]
+        log = self._log_of(call)
         self._in_flight[log.duty] -= 1
         for name in _names_of(call):
             if final:
@@ -113,7 +116,7 @@
     def answered_directly(self, call: Rent | Delete, now: Steady) -> None:
         """The cloud has answered a call that was sent past the gate: what earlier leaders recorded
         of it is not open any more."""
-        log = self.logs[duty_of_call(call) or DutyName.RETURN]
+        log = self._log_of(call)
         for name in _names_of(call):
             log.finished(name, now)
 
--- a/src/eldercart/net/duty_service.py
+++ b/src/eldercart/net/duty_service.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from eldercart.core.controller import Controller
+from eldercart.core.memory import FILL
 from eldercart.core.records import CleanupPermit
 from eldercart.core.rental import Offer, RentalRequest
 from eldercart.duties.gate import CloudGate, Path, Route
@@ -45,7 +46,6 @@
 
 Done = Callable[[Revision], None]
 
-RECORD_SHARE = 0.8  # of the state service's limit on a value, for a record of intents
 FAILING_S = 1.0  # without an answer of the state service, after which nothing is to be recorded
 STAND_BACK_S = 1.0  # for which others leave the leadership to the node that it is handed over to
 
@@ -239,7 +239,7 @@
     @property
     def most_record_bytes(self) -> int:
         """The largest record of intents."""
-        return int(RECORD_SHARE * self.node.settings.value_bytes)
+        return int(FILL * self.node.settings.value_bytes)
 
     def leadership_over(self) -> None:
         """Nothing more is recorded or sent in this leadership's name."""
@@ -272,8 +272,9 @@
             return CleanupPermit()
         if route.path is Path.HELD or route.token is None:
             return CleanupPermit(allowed=False)
-        waiting = controller.records.cleanups_waiting
-        if waiting <= self.features.cleanup_backlog and not self.may_maintain():
+        # Asked at each turn of the loop: records are counted only outside the windows.
+        most = self.features.cleanup_backlog
+        if not self.may_maintain() and controller.records.cleanups_waiting <= most:
             return CleanupPermit(allowed=False)
         return CleanupPermit(guards=((holder_key(DutyName.CLEANUP), Revision(route.token)),))
 
