Review case 2: a machine is never used after its leader stood still

Cause: a relay that has a lease of the new leader passes a late reply of the replaced leader on to the worker under the new token, and records that the leader has handled the report. It then answers all further reports of an idle machine itself, and the new leader never sees one.

Change: the case with its claim; hooks of the stand-ins that it needs. No source is changed.

--- a/review/rig.py
+++ b/review/rig.py
@@ -174,6 +174,7 @@
         self.leases, self.next_lease = {}, 0
         self.changed = asyncio.Event()
         self.before = self.after = None
+        self.latency_s = {}  # by controller, where it is not `LATENCY_S`
         self.outage = False
         self.refused = set()  # controllers that get 503
         self.tokens = {"rps": limits["rps"], "write_rps": limits["write_rps"]}
@@ -186,7 +187,7 @@
                 answer = await self.before(node, method, path, body)
                 if answer is not None:
                     return answer
-            await asyncio.sleep(self.LATENCY_S)
+            await asyncio.sleep(self.latency_s.get(node, self.LATENCY_S))
             if path == "/follow":
                 return await self.follow(node, query)
             if self.outage or node in self.refused:
@@ -414,7 +415,7 @@
         self.is_up = self.is_gone = self.is_hung = False
         self.deaf_to = set()  # indexes of controllers that it can't reach
         self.mute_orders = False  # direct requests to it get no answer
-        self.at = 0
+        self.at = None  # the index of the controller to which it reports
         self.poke = asyncio.Event()
         self.last_change_at = 0.0
         self.loop_task = asyncio.ensure_future(self.run(boot_s))
@@ -480,7 +481,8 @@
         self.answered_at = time.monotonic()
         self.rec.add("machine up", machine=self.name, zone=self.zone)
         fronts = self.rig.fronts
-        self.at = int(self.name[2:]) % len(fronts)
+        if self.at is None:
+            self.at = int(self.name[2:]) % len(fronts)
         reader = writer = None
         while True:
             while self.is_hung:
