--- a/review/rig.py
+++ b/review/rig.py
@@ -144,15 +144,21 @@
         writer.close()
 
 
+_given_ports = set()
+
+
 def free_port():
     """A free port below the range from which outgoing connections take theirs."""
     while True:
         port = random.randrange(15_000, 31_000)
+        if port in _given_ports:
+            continue
         with socket.socket() as s:
             try:
                 s.bind((HOST, port))
             except OSError:
                 continue
+        _given_ports.add(port)
         return port
 
 
