--- a/review/rig.py
+++ b/review/rig.py
@@ -144,22 +144,19 @@
         writer.close()
 
 
-_given_ports = set()
-
-
-def free_port():
-    """A free port below the range from which outgoing connections take theirs."""
+def free_addresses(count, ports):
+    """Loopback addresses on which all these ports are free: a cluster shares them with nobody else."""
     while True:
-        port = random.randrange(15_000, 31_000)
-        if port in _given_ports:
+        net = f"127.{random.randrange(1, 255)}.{random.randrange(256)}"
+        hosts = [f"{net}.{n + 1}" for n in range(count)]
+        try:
+            for host in hosts:
+                for port in ports:
+                    with socket.socket() as s:
+                        s.bind((host, port))
+        except OSError:
             continue
-        with socket.socket() as s:
-            try:
-                s.bind((HOST, port))
-            except OSError:
-                continue
-        _given_ports.add(port)
-        return port
+        return hosts
 
 
 # -- state service
@@ -705,8 +702,9 @@
         self.store = Store(self.rec, self.settings["state"])
         self.cloud = Cloud(self, capacity=self.capacity)
         _, cloud_port = await serve(self.cloud.handle)
-        self.fronts = [f"{HOST}:{free_port()}" for _ in self.labels]
-        mesh = [f"{HOST}:{free_port()}" for _ in self.labels]
+        hosts = free_addresses(self.node_count, (8080, 8081))
+        self.fronts = [f"{host}:8080" for host in hosts]
+        mesh = [f"{host}:8081" for host in hosts]
         zones = self.settings["zones"]
         self.links = {}
         for i in range(self.node_count):
