Log how a job record reached the leader

Change: the line names the source and the revision at which the record was created. The four fields of a decoded record and its revision are one type, JobRecord, in place of five arguments.

--- a/src/eldercart/scheduling/scheduler.py
+++ b/src/eldercart/scheduling/scheduler.py
@@ -34,6 +34,7 @@
 from eldercart.cluster.heartbeats import HeartbeatHandler
 from eldercart.cluster.machine_monitor import MachineMonitor
 from eldercart.jobs.job import Job
+from eldercart.jobs.job_records import JobRecord, JobRecordSource
 from eldercart.persistence import learned_state
 from eldercart.persistence.transaction_writer import TransactionWriter
 from eldercart.persistence.transactions import PendingTransaction, TransactionOutcome
@@ -59,7 +60,6 @@
 from eldercart.wire.cloud import MachineType
 from eldercart.wire.leader_key import LEADER_KEY
 from eldercart.wire.state import Item, Transaction
-from eldercart.wire.users import DependencyListReference, JobSpec
 
 log = logging.getLogger("eldercart.controller")
 
@@ -145,20 +145,13 @@
             job_items, placement_items, cleanup_items, now, learned_state_items, incomplete_jobs
         )
 
-    def load_job_record(self, item: Item, now: MonotonicTime) -> None:
+    def load_job_record(self, item: Item, source: JobRecordSource, now: MonotonicTime) -> None:
         """Add the job of a job record that a read or a watch returned."""
-        self._loader.load_job_record(item, now)
+        self._loader.load_job_record(item, source, now)
 
-    def add_job(
-        self,
-        spec: JobSpec,
-        tasks_per_chunk: int,
-        accepted_at: WallTime,
-        now: MonotonicTime,
-        dependency_list_reference: DependencyListReference | None = None,
-    ) -> None:
+    def add_job(self, record: JobRecord, now: MonotonicTime) -> None:
         """Add a job that this node has accepted; see `StateLoader.add_job`."""
-        self._loader.add_job(spec, tasks_per_chunk, accepted_at, now, dependency_list_reference)
+        self._loader.add_job(record, JobRecordSource.ACCEPTANCE, now)
 
     # -- users' requests
 
--- a/src/eldercart/scheduling/state_loader.py
+++ b/src/eldercart/scheduling/state_loader.py
@@ -5,6 +5,7 @@
 
 from eldercart.autoscaling.inventory_updates import add_unknown_machine
 from eldercart.jobs.job import Job, Placement
+from eldercart.jobs.job_records import JobRecord, JobRecordSource
 from eldercart.persistence import learned_state
 from eldercart.persistence.placement_record_loader import load_placement_records
 from eldercart.persistence.transaction_writer import TransactionWriter
@@ -20,7 +21,6 @@
     decode_job_record,
     resolved_list_reference,
 )
-from eldercart.wire.users import DependencyListReference, JobSpec
 
 log = logging.getLogger("eldercart.controller")
 
@@ -54,7 +54,7 @@
             learned_state.restore_learned_state(self._cluster_state, item.key, item.value)
         job_items = list(job_items)
         for item in job_items:
-            self.load_job_record(item, now)
+            self.load_job_record(item, JobRecordSource.FAILOVER, now)
         placements = load_placement_records(
             self._transaction_writer.placement_records, placement_items, self._jobs
         )
@@ -71,49 +71,49 @@
             len(self._transaction_writer.orphaned_keys),
         )
 
-    def load_job_record(self, item: Item, now: MonotonicTime) -> None:
+    def load_job_record(self, item: Item, source: JobRecordSource, now: MonotonicTime) -> None:
         """Add the job of a record that a read or a watch returned; log an unreadable record."""
         job_id = JobId(item.key[len(JOB_PREFIX) :])
         if job_id in self._jobs:
             return
         try:
-            spec, tasks_per_chunk, accepted_at = decode_job_record(job_id, item.value)
+            stored = decode_job_record(job_id, item.value)
         except (MalformedMessageError, KeyError, TypeError, ValueError) as err:
             log.error("job record unreadable job=%s error=%s", job_id, err)
             return
-        reference = resolved_list_reference(item.value)
-        self.add_job(spec, tasks_per_chunk, WallTime(accepted_at), now, reference)
+        record = JobRecord(
+            stored.spec,
+            stored.tasks_per_chunk,
+            WallTime(stored.accepted_at),
+            item.version,
+            resolved_list_reference(item.value),
+        )
+        self.add_job(record, source, now)
         marker = self._unresolved_cleanup_markers.pop(job_id, None)
         if marker is not None:
             self._load_finished_job(self._jobs.jobs[job_id], marker, now)
 
-    def add_job(
-        self,
-        spec: JobSpec,
-        tasks_per_chunk: int,
-        accepted_at: WallTime,
-        now: MonotonicTime,
-        dependency_list_reference: DependencyListReference | None = None,
-    ) -> None:
-        """Add an accepted job, unless it is in the registry already.
-
-        `dependency_list_reference` refers to the keys with its dependencies, if they are not stored
-        in its record.
-        """
+    def add_job(self, record: JobRecord, source: JobRecordSource, now: MonotonicTime) -> None:
+        """Add an accepted job, unless it is in the registry already."""
+        spec = record.spec
         if spec.id in self._jobs:
             return
         offset_s = self._cluster_state.wall_clock_offset_s
-        submitted_at = MonotonicTime(min(now, accepted_at - offset_s))
-        job = self._jobs.add(spec, tasks_per_chunk, submitted_at, dependency_list_reference)
+        submitted_at = MonotonicTime(min(now, record.accepted_at - offset_s))
+        job = self._jobs.add(
+            spec, record.tasks_per_chunk, submitted_at, record.dependency_list_reference
+        )
         self._cluster_state.on_job_submitted(job, now)
         log.info(
-            "job accepted job=%s class=%s team=%s tasks=%d cpus=%g image=%s",
+            "job accepted job=%s class=%s team=%s tasks=%d cpus=%g image=%s source=%s revision=%d",
             spec.id,
             spec.job_class,
             spec.team,
             spec.task_count,
             spec.cpus,
             spec.image,
+            source.value,
+            record.revision,
         )
 
     def _load_cleanup_markers(
--- a/src/eldercart/server/leadership/job_record_watch.py
+++ b/src/eldercart/server/leadership/job_record_watch.py
@@ -8,6 +8,7 @@
 
 from twisted.internet import reactor as _reactor
 
+from eldercart.jobs.job_records import JobRecordSource
 from eldercart.scheduling.scheduler import Scheduler
 from eldercart.server.leadership.current_leadership import Leadership, is_current_leadership
 from eldercart.server.leadership.job_outcomes import JobOutcomes
@@ -76,7 +77,7 @@
     def _on_events(self, events: list[Any]) -> None:
         for event in events:
             if isinstance(event, Item):
-                self.add_record(event)
+                self.add_record(event, JobRecordSource.WATCH)
         if events:
             self._leadership.process_events_soon()
 
@@ -92,14 +93,14 @@
                 reactor.callLater(WATCH_RETRY_S, self._resync, scheduler)
                 return
             for item in items:
-                self.add_record(item)
+                self.add_record(item, JobRecordSource.RESYNC)
             self.watch(scheduler, revision)
 
         self._store.range(JOB_PREFIX, on_range_read)
 
     # -- single records
 
-    def add_record(self, item: Item) -> None:
+    def add_record(self, item: Item, source: JobRecordSource) -> None:
         """Add a job to the scheduler, with its dependency list if the record refers to one.
 
         Until the list has been read, the scheduler does not know the job: polls read its state
@@ -110,17 +111,18 @@
         if scheduler is None or self._outcomes.outcome_of(job) is not None:
             return
         if not has_dependency_list(item):
-            scheduler.load_job_record(item, self._clock())
+            scheduler.load_job_record(item, source, self._clock())
         elif job not in scheduler.jobs and job not in self._jobs_resolving:
             self._jobs_resolving.add(job)
-            self._read_dependency_list(scheduler, job, item, LIST_RETRY_S)
+            self._read_dependency_list(scheduler, item, source, LIST_RETRY_S)
 
     def _read_dependency_list(
-        self, scheduler: Scheduler, job: JobId, item: Item, retry_s: float
+        self, scheduler: Scheduler, item: Item, source: JobRecordSource, retry_s: float
     ) -> None:
         """Read the list that the record refers to, and retry until it is complete."""
         if not is_current_leadership(self._leadership, scheduler):
             return
+        job = JobId(item.key[len(JOB_PREFIX) :])
         reference = decode_dependency_list_reference(item.value)
         known = job in scheduler.jobs or self._outcomes.outcome_of(job) is not None
         if reference is None or known:
@@ -135,17 +137,19 @@
                 log.info("dependency list not read job=%s", job)
                 next_retry_s = min(MAX_LIST_RETRY_S, 2 * retry_s)
                 reactor.callLater(
-                    retry_s, self._read_dependency_list, scheduler, job, item, next_retry_s
+                    retry_s, self._read_dependency_list, scheduler, item, source, next_retry_s
                 )
             else:
-                self._add_resolved_record(scheduler, job, record)
+                self._add_resolved_record(scheduler, job, record, source)
 
         self._store.range(dependency_list_prefix(job, reference), on_lists_read)
 
-    def _add_resolved_record(self, scheduler: Scheduler, job: JobId, record: Item) -> None:
+    def _add_resolved_record(
+        self, scheduler: Scheduler, job: JobId, record: Item, source: JobRecordSource
+    ) -> None:
         self._jobs_resolving.discard(job)
         if self._outcomes.outcome_of(job) is None:
-            scheduler.load_job_record(record, self._clock())
+            scheduler.load_job_record(record, source, self._clock())
             self._leadership.process_events_soon()
 
 
--- a/src/eldercart/server/leadership/leader_service.py
+++ b/src/eldercart/server/leadership/leader_service.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from eldercart.election.state_machine import Election, Role
+from eldercart.jobs.job_records import JobRecordSource
 from eldercart.scheduling.scheduler import Scheduler
 from eldercart.server.coalescing import CoalescedCall
 from eldercart.server.leadership.catalog_record import CatalogOwner, CatalogRecord
@@ -201,7 +202,7 @@
         self._started_at = now
         self.job_record_watch.watch(scheduler, records.jobs_revision)
         for item in resolved.unresolved:
-            self.job_record_watch.add_record(item)
+            self.job_record_watch.add_record(item, JobRecordSource.FAILOVER)
         self.process_events()
 
     def _build_scheduler(self, token: FencingToken, now: MonotonicTime) -> Scheduler:
--- a/src/eldercart/server/users/job_admission.py
+++ b/src/eldercart/server/users/job_admission.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from eldercart.jobs.job_records import JobRecord
 from eldercart.scheduling import feasibility
 from eldercart.server.http.replies import (
     RETRY_AFTER_S,
@@ -281,12 +282,12 @@
         self._context.store.commit(transaction, self._on_transaction_result)
 
     def _on_transaction_result(
-        self, status: int | None, _: Revision, failed_conditions: tuple[str, ...]
+        self, status: int | None, revision: Revision, failed_conditions: tuple[str, ...]
     ) -> None:
         if status in (200, 409):
             self._dependency_resolver.discard_partial_list(self._job)
         if status == 200:
-            self._on_accepted()
+            self._on_accepted(revision)
         elif status == 409:
             self._on_already_known(has_ended=END_PREFIX + self._job in failed_conditions)
         elif status is None:
@@ -296,19 +297,20 @@
             log.info("submission not stored status=%s", status)
             reject_temporarily(self._request, "cannot store it now")
 
-    def _on_accepted(self) -> None:
+    def _on_accepted(self, revision: Revision) -> None:
         self._dependency_resolver.record_accepted(self._job)
         self._dependency_resolver.record_dependencies(self._job, self._spec.dependencies)
         self._request.reply(201, users.job_state_body(self._job, users.PENDING))
         leader = self._context.leader
         if leader.scheduler is not None:
-            leader.scheduler.add_job(
+            record = JobRecord(
                 self._spec,
                 self._tasks_per_chunk,
                 self._accepted_at,
-                self._context.clock(),
+                revision,
                 self._list_reference,
             )
+            leader.scheduler.add_job(record, self._context.clock())
             leader.process_events_soon()
 
     def _on_already_known(self, *, has_ended: bool) -> None:
--- a/src/eldercart/server/users/job_states.py
+++ b/src/eldercart/server/users/job_states.py
@@ -4,6 +4,7 @@
 from functools import partial
 from typing import NamedTuple
 
+from eldercart.jobs.job_records import JobRecordSource
 from eldercart.server.http.replies import RETRY_AFTER_S, SHORT_RETRY_AFTER_S
 from eldercart.server.store.client import RESERVE_POLLS
 from eldercart.server.users.ancestor_search import AncestorSearchResult
@@ -128,7 +129,7 @@
         self._record = record
         if record is not None:
             self._dependency_resolver.record_accepted(self._job)
-            self._context.leader.job_record_watch.add_record(record)
+            self._context.leader.job_record_watch.add_record(record, JobRecordSource.READ)
         self._context.store.get(END_PREFIX + self._job, self._on_outcome)
 
     def _on_outcome(self, succeeded: bool, outcome_record: Item | None) -> None:
--- a/tests/memory_units.py
+++ b/tests/memory_units.py
@@ -13,7 +13,8 @@
 
 from benchmarks.relay_reports import WorkerConnection, heartbeat_request, relay_node
 from eldercart.cluster.inventory import MachineState
-from eldercart.units import MachineId, MonotonicTime, WallTime
+from eldercart.jobs.job_records import JobRecord
+from eldercart.units import MachineId, MonotonicTime, Revision, WallTime
 from eldercart.wire import cloud, users
 from simulators import CATALOG
 from world import World, submission
@@ -48,7 +49,7 @@
 
     def job(number: int) -> Any:
         spec = users.parse_submission(submission(f"wk-{number:06d}", parcels=20))
-        scheduler.add_job(spec, 50, WallTime(100.0), now)
+        scheduler.add_job(JobRecord(spec, 50, WallTime(100.0), Revision(number + 1)), now)
 
     print(f"machine: {bytes_per_object(machine):.0f} bytes")
     print(f"job of 20 tasks that wait: {bytes_per_object(job):.0f} bytes")
--- a/tests/test_coinciding_faults.py
+++ b/tests/test_coinciding_faults.py
@@ -563,7 +563,7 @@
         tuning=World(0).tuning,
         store=SimpleNamespace(commit=txn, get=get, writes=bucket, requests=bucket),
         leader_service=SimpleNamespace(
-            scheduler=None, job_record_watch=SimpleNamespace(add_record=lambda _: None)
+            scheduler=None, job_record_watch=SimpleNamespace(add_record=lambda *_: None)
         ),
     )
     user_service = UserService(node)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -13,6 +13,7 @@
 
 from eldercart.cluster.direct_kills import DirectKill
 from eldercart.election.state_machine import Election
+from eldercart.jobs.job_records import JobRecordSource
 from eldercart.scheduling.scheduler import GetCatalog, JobStatus, LookupFailure, TransactionOutcome
 from eldercart.server.leadership import failover, job_record_watch
 from eldercart.server.leadership.catalog_record import CATALOG_KEY, CatalogRecord
@@ -358,12 +359,12 @@
     node = FakeNode()
     records = node.job_record_watch()
     old = node.leader_service.scheduler = node.scheduler()
-    records.add_record(job_item())
+    records.add_record(job_item(), JobRecordSource.WATCH)
     new = node.leader_service.scheduler = node.scheduler()
     node.callbacks.pop()([], Revision(4))
     assert not old.load_job_record.called and not new.load_job_record.called
     records.reset()
-    records.add_record(job_item())
+    records.add_record(job_item(), JobRecordSource.WATCH)
     node.callbacks.pop()([], Revision(5))
     assert new.load_job_record.called and not old.load_job_record.called
 
@@ -472,6 +473,8 @@
     scheduler = node.leader_service.scheduler
     assert scheduler is not None and JobId("wk-000001") not in scheduler.jobs
     scheduler.load_job_record(
-        Item(job.key, encode_job_record(spec, 50, clock.now), Revision(3)), clock.now
+        Item(job.key, encode_job_record(spec, 50, clock.now), Revision(3)),
+        JobRecordSource.FAILOVER,
+        clock.now,
     )
     assert scheduler.job_status(JobId("wk-000001")) == JobStatus(users.CANCELLED, 0, 0)
--- a/tests/test_named_lease_service.py
+++ b/tests/test_named_lease_service.py
@@ -12,6 +12,7 @@
 from eldercart.autoscaling.cloud_requests import RequestAdmission
 from eldercart.cluster.inventory import MachineState
 from eldercart.jobs.job import Placement, PlacementPhase
+from eldercart.jobs.job_records import JobRecord
 from eldercart.server.controller_node import ControllerNode
 from eldercart.server.store.client import RESERVE_PLACEMENTS
 from eldercart.settings import load_tuning
@@ -244,7 +245,7 @@
     """Add a machine with a cancelled task that should have ended by now."""
     machine = world.add_machine_to_delete(name)
     spec = users.parse_submission(submission("wk-000001"))
-    world.scheduler.add_job(spec, 50, WallTime(0.0), world.clock())
+    world.scheduler.add_job(JobRecord(spec, 50, WallTime(0.0), Revision(1)), world.clock())
     job = world.scheduler.jobs.jobs[spec.id]
     placement = Placement(
         task_key(job.id, 0), job, 0, Attempt(1), machine.id, phase=PlacementPhase.RUNNING
--- a/tests/test_user_requests.py
+++ b/tests/test_user_requests.py
@@ -11,6 +11,7 @@
 
 from eldercart.cli.client import _waiting_reason, _with_awaits
 from eldercart.election.state_machine import Election
+from eldercart.jobs.job_records import JobRecordSource
 from eldercart.server.leadership import job_record_watch
 from eldercart.server.leadership.leader_service import LeaderService
 from eldercart.server.machine_types import KnownMachineTypes
@@ -239,7 +240,7 @@
             machine_types=cloud.parse_catalog(CATALOG),
             graceful_shutdown=SimpleNamespace(has_begun=False),
             leader_service=SimpleNamespace(
-                scheduler=None, job_record_watch=SimpleNamespace(add_record=lambda _: None)
+                scheduler=None, job_record_watch=SimpleNamespace(add_record=lambda *_: None)
             ),
             relay_service=SimpleNamespace(
                 leader_client=SimpleNamespace(poll=self._poll, cancel=lambda job, answer: False)
@@ -919,7 +920,7 @@
             Any, SimpleNamespace(jobs=self.added_jobs, load_job_record=self._load_job_record)
         )
 
-    def _load_job_record(self, item: Item, now: MonotonicTime) -> None:
+    def _load_job_record(self, item: Item, source: JobRecordSource, now: MonotonicTime) -> None:
         spec, _, _ = decode_job_record(JobId(item.key[len(JOB_PREFIX) :]), item.value)
         assert spec.id not in self.added_jobs, "job added twice"
         self.added_jobs[spec.id] = spec
@@ -992,7 +993,8 @@
     record, parts = record_with_list(500)
     leader.user_fixture.store.put(*parts[:1])
     for _ in range(3):
-        leader.leader_service.job_record_watch.add_record(record)  # each poll calls this too
+        # Each poll calls this too.
+        leader.leader_service.job_record_watch.add_record(record, JobRecordSource.READ)
         leader.user_fixture.settle()
         assert not leader.added_jobs
     assert len(leader.delayed_calls) == 1, "one read serves all three calls"
@@ -1003,7 +1005,7 @@
     leader.user_fixture.store.put(*parts[1:])
     leader.run_delayed_calls()
     assert leader.added_jobs[JobId("wk-last")].dependencies == tuple(job_names(500))
-    leader.leader_service.job_record_watch.add_record(record)
+    leader.leader_service.job_record_watch.add_record(record, JobRecordSource.WATCH)
     leader.user_fixture.settle()
     assert not leader.delayed_calls
 
@@ -1013,7 +1015,7 @@
 ) -> None:
     leader = LeaderServiceFixture(monkeypatch)
     record, _ = record_with_list(500)
-    leader.leader_service.job_record_watch.add_record(record)
+    leader.leader_service.job_record_watch.add_record(record, JobRecordSource.WATCH)
     leader.user_fixture.settle()
     leader.user_fixture.user_service.record_outcome(JobId("wk-last"), users.CANCELLED)
     leader.run_delayed_calls()
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,6 +12,7 @@
 import orjson
 
 from eldercart.jobs.job import PlacementPhase
+from eldercart.jobs.job_records import JobRecord
 from eldercart.scheduling.scheduler import (
     DeleteMachines,
     GetCatalog,
@@ -199,12 +200,20 @@
             {f"job/{job}": ABSENT_REVISION, f"end/{job}": ABSENT_REVISION},
             [state.Put(f"job/{job}", record)],
         )
-        assert self.store.txn(txn.body())[0] == 200
+        status, answer = self.store.txn(txn.body())
+        assert status == 200
         self.jobs[job] = body | {"runS": run_s}
-        assert self.scheduler is not None
-        # Earlier versions do not take this argument.
-        extra = () if reference is None else (reference,)
-        self.scheduler.add_job(spec, size, WallTime(self.now), MonotonicTime(self.now), *extra)
+        revision = Revision(answer["ledgerRev"])
+        self.add_to_leader(JobRecord(spec, size, WallTime(self.now), revision, reference))
+
+    def add_to_leader(self, record: JobRecord) -> None:
+        """Give a job that was just stored to the leader, which may be of an earlier version."""
+        leader: Any = self.scheduler
+        now = MonotonicTime(self.now)
+        if isinstance(leader, Scheduler):
+            leader.add_job(record, now)
+        else:
+            leader.add_job(record.spec, record.tasks_per_chunk, record.accepted_at, now)
 
     def cancel(self, job: str) -> None:
         assert self.scheduler is not None
