Fix: a record that arrives late no longer adds an ended job again

Cause: a job leaves the registry when its record is deleted. Whatever brought its record afterwards added it as a new, open job. One of the ways looked at the cache of outcomes, which a new leader does not fill with the jobs that it loads as ended, and which forgets old ones; this node's own acceptance looked at nothing.

Change: JobRecordHistory adds each job at most once in a leadership. It is asked in StateLoader.add_job, through which every job enters the registry. Records are created once and deleted only by the leader, so up to the revision that the failover, the watch or a resync has reached, a record whose job is not in the registry is that of an ended job; only records beyond it are remembered. A cleanup marker that waits for its record is now applied there too, whichever way the record comes.

--- a/src/eldercart/scheduling/scheduler.py
+++ b/src/eldercart/scheduling/scheduler.py
@@ -149,6 +149,14 @@
         """Add the job of a job record that a read or a watch returned."""
         self._loader.load_job_record(item, source, now)
 
+    def defer_job_record(self, item: Item) -> bool:
+        """Note that the record waits for its dependency list; see `StateLoader`."""
+        return self._loader.defer_job_record(item)
+
+    def on_job_records_complete(self, revision: Revision) -> None:
+        """Note that every job record that existed at this revision has been added or deferred."""
+        self._loader.job_record_history.complete_until(revision)
+
     def add_job(self, record: JobRecord, now: MonotonicTime) -> None:
         """Add a job that this node has accepted; see `StateLoader.add_job`."""
         self._loader.add_job(record, JobRecordSource.ACCEPTANCE, now)
--- a/src/eldercart/scheduling/state_loader.py
+++ b/src/eldercart/scheduling/state_loader.py
@@ -5,7 +5,7 @@
 
 from eldercart.autoscaling.inventory_updates import add_unknown_machine
 from eldercart.jobs.job import Job, Placement
-from eldercart.jobs.job_records import JobRecord, JobRecordSource
+from eldercart.jobs.job_records import JobRecord, JobRecordHistory, JobRecordSource
 from eldercart.persistence import learned_state
 from eldercart.persistence.placement_record_loader import load_placement_records
 from eldercart.persistence.transaction_writer import TransactionWriter
@@ -33,6 +33,7 @@
         self._cluster_state = cluster_state
         self._transaction_writer = transaction_writer
         self._jobs = cluster_state.jobs
+        self.job_record_history = JobRecordHistory()
         # Cleanup markers of ended jobs whose job records have not been read yet.
         self._unresolved_cleanup_markers: dict[JobId, Item] = {}
 
@@ -52,7 +53,9 @@
         """
         for item in learned_state_items:
             learned_state.restore_learned_state(self._cluster_state, item.key, item.value)
-        job_items = list(job_items)
+        job_items, incomplete_jobs = list(job_items), list(incomplete_jobs)
+        for item in incomplete_jobs:
+            self.defer_job_record(item)
         for item in job_items:
             self.load_job_record(item, JobRecordSource.FAILOVER, now)
         placements = load_placement_records(
@@ -71,9 +74,16 @@
             len(self._transaction_writer.orphaned_keys),
         )
 
+    def defer_job_record(self, item: Item) -> bool:
+        """Note that the record waits for its dependency list; return whether it is still wanted.
+
+        It is not if its job is in the registry or has ended.
+        """
+        return self.job_record_history.defer(_job_id_of(item), item.version)
+
     def load_job_record(self, item: Item, source: JobRecordSource, now: MonotonicTime) -> None:
         """Add the job of a record that a read or a watch returned; log an unreadable record."""
-        job_id = JobId(item.key[len(JOB_PREFIX) :])
+        job_id = _job_id_of(item)
         if job_id in self._jobs:
             return
         try:
@@ -89,15 +99,23 @@
             resolved_list_reference(item.value),
         )
         self.add_job(record, source, now)
-        marker = self._unresolved_cleanup_markers.pop(job_id, None)
-        if marker is not None:
-            self._load_finished_job(self._jobs.jobs[job_id], marker, now)
 
     def add_job(self, record: JobRecord, source: JobRecordSource, now: MonotonicTime) -> None:
-        """Add an accepted job, unless it is in the registry already."""
+        """Add an accepted job, unless it is in the registry or has ended.
+
+        Every job enters the registry here, by whichever way its record reached the leader.
+        """
         spec = record.spec
         if spec.id in self._jobs:
             return
+        if not self.job_record_history.take(spec.id, record.revision):
+            log.info(
+                "job record ignored job=%s reason=ended source=%s revision=%d",
+                spec.id,
+                source.value,
+                record.revision,
+            )
+            return
         offset_s = self._cluster_state.wall_clock_offset_s
         submitted_at = MonotonicTime(min(now, record.accepted_at - offset_s))
         job = self._jobs.add(
@@ -115,6 +133,9 @@
             source.value,
             record.revision,
         )
+        marker = self._unresolved_cleanup_markers.pop(spec.id, None)
+        if marker is not None:
+            self._load_finished_job(job, marker, now)
 
     def _load_cleanup_markers(
         self, markers: Iterable[Item], recorded_job_ids: set[str], now: MonotonicTime
@@ -175,3 +196,7 @@
             # This leader observes only part of the run time. Counted as a full run time, it would
             # make all later tasks of the job, and the healthy machines they run on, look slow.
             placement.is_start_known = False
+
+
+def _job_id_of(item: Item) -> JobId:
+    return JobId(item.key[len(JOB_PREFIX) :])
--- a/src/eldercart/server/leadership/job_record_watch.py
+++ b/src/eldercart/server/leadership/job_record_watch.py
@@ -57,9 +57,13 @@
     # -- the watch
 
     def watch(self, scheduler: Scheduler, after: Revision) -> None:
-        """Add each job record that is created after the revision."""
+        """Add each job record that is created after the revision.
+
+        All records up to that revision must have been given to the scheduler.
+        """
         if not is_current_leadership(self._leadership, scheduler):
             return
+        scheduler.on_job_records_complete(after)
 
         def on_watch_response(status: int | None, revision: Revision, events: list[Any]) -> None:
             if not is_current_leadership(self._leadership, scheduler):
@@ -112,7 +116,7 @@
             return
         if not has_dependency_list(item):
             scheduler.load_job_record(item, source, self._clock())
-        elif job not in scheduler.jobs and job not in self._jobs_resolving:
+        elif job not in self._jobs_resolving and scheduler.defer_job_record(item):
             self._jobs_resolving.add(job)
             self._read_dependency_list(scheduler, item, source, LIST_RETRY_S)
 
--- a/tests/test_named_lease_service.py
+++ b/tests/test_named_lease_service.py
@@ -245,7 +245,9 @@
     """Add a machine with a cancelled task that should have ended by now."""
     machine = world.add_machine_to_delete(name)
     spec = users.parse_submission(submission("wk-000001"))
-    world.scheduler.add_job(JobRecord(spec, 50, WallTime(0.0), Revision(1)), world.clock())
+    revision = Revision(world.store.revision + 1)
+    record = JobRecord(spec, 50, WallTime(0.0), revision)
+    world.scheduler.add_job(record, world.clock())
     job = world.scheduler.jobs.jobs[spec.id]
     placement = Placement(
         task_key(job.id, 0), job, 0, Attempt(1), machine.id, phase=PlacementPhase.RUNNING
--- a/tests/test_user_requests.py
+++ b/tests/test_user_requests.py
@@ -917,7 +917,12 @@
         )
         self.leader_service.process_events_soon = cast(Any, lambda: None)
         self.leader_service.scheduler = cast(
-            Any, SimpleNamespace(jobs=self.added_jobs, load_job_record=self._load_job_record)
+            Any,
+            SimpleNamespace(
+                jobs=self.added_jobs,
+                load_job_record=self._load_job_record,
+                defer_job_record=self._defer_job_record,
+            ),
         )
 
     def _load_job_record(self, item: Item, source: JobRecordSource, now: MonotonicTime) -> None:
@@ -925,6 +930,9 @@
         assert spec.id not in self.added_jobs, "job added twice"
         self.added_jobs[spec.id] = spec
 
+    def _defer_job_record(self, item: Item) -> bool:
+        return JobId(item.key[len(JOB_PREFIX) :]) not in self.added_jobs
+
     def run_delayed_calls(self) -> None:
         """Run the delayed calls that are due, then deliver all responses."""
         calls, self.delayed_calls = self.delayed_calls, []
--- a/tests/world.py
+++ b/tests/world.py
@@ -158,6 +158,8 @@
         ]
         assert None not in jobs, "the dependency list of a job record is missing"
         leader.load([i for i in jobs if i], items("place/"), items("gone/"), now, items("memo/"))
+        if isinstance(leader, Scheduler):
+            leader.on_job_records_complete(Revision(self.store.revision))
         self.scheduler = leader
 
     def new_scheduler(self, epoch: FencingToken) -> Any:
