Fix: a replaced leader's reply is not passed on under the new leader's token

Cause: a relay did not look at which leader replied to a forwarded heartbeat. A leader that had stood still answered before it learnt of its successor; the relay, which had the successor's lease by then, gave the worker these commands under the successor's token, and noted the list of tasks as handled. It then answered all further, unchanged heartbeats itself, so the new leader never got one under its own token.

Change: a heartbeat that waits carries the token under which it was sent. Its reply is passed on only if the relay still has that token; else the worker gets the new token without commands, and its next heartbeat is forwarded. Commands that this way are not delivered are reported as such. A node that has just been elected answers under its own token also before its relay knows it.

--- a/src/eldercart/server/peers/heartbeat_forwarding.py
+++ b/src/eldercart/server/peers/heartbeat_forwarding.py
@@ -18,7 +18,7 @@
 from eldercart.server.http.server import JsonRequest
 from eldercart.server.peers.connections import PeerLink, connected_link
 from eldercart.server.peers.relay_host import RelayHost
-from eldercart.units import FencingToken, MachineId, MonotonicTime, NodeId
+from eldercart.units import NO_FENCING_TOKEN, FencingToken, MachineId, MonotonicTime, NodeId
 from eldercart.wire import MalformedMessageError, peers, users, workers
 from eldercart.wire.checks import load_nested_object
 
@@ -38,6 +38,8 @@
     request: JsonRequest
     header: workers.HeartbeatHeader
     deadline_at: MonotonicTime
+    # Of the leader to which it was sent, and thus of the one that made the commands in the reply.
+    token: FencingToken = NO_FENCING_TOKEN
 
 
 class HeartbeatForwarding:
@@ -124,6 +126,7 @@
     ) -> None:
         """Pass the heartbeat to the scheduler of this node, which is the leader."""
         leader_service = self._host.leader_service
+        pending.token = self._host.election.token
         try:
             heartbeat = workers.parse_heartbeat(message)
         except MalformedMessageError as error:
@@ -137,7 +140,7 @@
     def _reply(
         self, pending: PendingHeartbeat, commands: list[dict[str, Any]] | None, wants_next: bool
     ) -> None:
-        """Answer the worker with the leader's reply.
+        """Answer the worker with the leader's reply, under the token of that leader.
 
         `commands` is None if the heartbeat is stale. `wants_next` means that the machine's next
         heartbeat must be forwarded, too.
@@ -147,7 +150,13 @@
             self._relay.on_stale_heartbeat(header.machine, header.sequence)
             _reject_stale(pending.request)
             return
-        wants_next = wants_next or bool(commands) or pending.request.is_disconnected
+        wants_next = (
+            wants_next
+            or bool(commands)
+            or pending.request.is_disconnected
+            # This node has just been elected, and its own relay does not know the new token yet.
+            or pending.token != self._relay.token
+        )
         self._relay.on_leader_response(
             header.machine,
             header.sequence,
@@ -155,7 +164,7 @@
             header.tasks,
             wants_next,
         )
-        pending.request.reply(200, workers.heartbeat_response_body(self._relay.token, commands))
+        pending.request.reply(200, workers.heartbeat_response_body(pending.token, commands))
 
     # -- to and from the leader
 
@@ -165,11 +174,18 @@
         link = connected_link(self._links, self._relay.leader)
         now = self._host.clock()
         for batch in peers.split_batches(collected):
+            self._record_token(batch)
             if link is None or not link.send(
                 peers.encode_forwarded_heartbeats(self._relay.token, batch)
             ):
                 self._abandon_batch(batch, now)
 
+    def _record_token(self, batch: list[peers.EncodedHeartbeat]) -> None:
+        for heartbeat in batch:
+            pending = self._pending_heartbeats.get(heartbeat.request_id)
+            if pending is not None:
+                pending.token = self._relay.token
+
     def _abandon_batch(self, batch: list[peers.EncodedHeartbeat], now: MonotonicTime) -> None:
         for heartbeat in batch:
             pending = self._pending_heartbeats.pop(heartbeat.request_id, None)
@@ -179,21 +195,38 @@
     def on_replies(self, link: PeerLink, replies: list[peers.HeartbeatReply]) -> None:
         """Answer workers with the leader's replies.
 
-        Report to the leader each machine whose reply arrived too late to be delivered.
+        Report to the leader each machine to which its commands were not delivered.
         """
         undelivered: list[MachineId] = []
         for reply in replies:
             pending = self._pending_heartbeats.pop(reply.request_id, None)
             if pending is not None:
-                is_undelivered = pending.request.is_disconnected and reply.commands
-                self._reply(pending, reply.commands, reply.wants_next)
-                if is_undelivered:
+                if not self._deliver(pending, reply):
                     undelivered.append(pending.header.machine)
             elif reply.request_id in self._expired_heartbeats:
                 undelivered.append(self._expired_heartbeats.pop(reply.request_id))
         if undelivered:
             link.send(peers.encode_machines(peers.UNDELIVERED, undelivered))
 
+    def _deliver(self, pending: PendingHeartbeat, reply: peers.HeartbeatReply) -> bool:
+        """Answer a worker with the leader's reply; return whether its commands reach the worker.
+
+        If the leader was replaced since, its commands are void, and its successor does not know
+        what the machine has reported. The next heartbeat is therefore forwarded to the successor.
+        """
+        if pending.token != self._relay.token:
+            log.info(
+                "reply of replaced leader dropped machine=%s token=%d current_token=%d",
+                pending.header.machine,
+                pending.token,
+                self._relay.token,
+            )
+            self._abandon(pending, self._host.clock())
+            return not reply.commands
+        is_delivered = not (pending.request.is_disconnected and reply.commands)
+        self._reply(pending, reply.commands, reply.wants_next)
+        return is_delivered
+
     def on_link_lost(self, link: PeerLink, now: MonotonicTime) -> None:
         """Abandon all forwarded heartbeats if the lost link is the leader's.
 
