Fix: a job whose tasks need next to nothing no longer stops all planning

Cause: the number of tasks that fit is a capacity divided by what a task takes, turned into an integer. The quotient is infinite for such a divisor, and OverflowError ended every planning pass. memGb and accelerators do the same.

Such jobs are legal, so they are accepted as before; those that were accepted earlier run.

--- a/src/eldercart/scheduling/feasibility.py
+++ b/src/eldercart/scheduling/feasibility.py
@@ -76,14 +76,22 @@
     """Return how many tasks of the job fit into the given capacity."""
     task_count = UNLIMITED_TASKS
     if spec.cpus > 0:
-        task_count = int((cpus + RESOURCE_EPSILON) / spec.cpus)
+        task_count = tasks_within(cpus, spec.cpus)
         if task_count <= 0:
             return 0
     if spec.gpus > 0:
-        task_count = min(task_count, int((gpus + RESOURCE_EPSILON) / spec.gpus))
+        task_count = min(task_count, tasks_within(gpus, spec.gpus))
     if spec.memory_gb > 0:
-        task_count = min(task_count, int((memory_gb + RESOURCE_EPSILON) / spec.memory_gb))
-    return max(0, task_count)
+        task_count = min(task_count, tasks_within(memory_gb, spec.memory_gb))
+    return task_count
+
+
+def tasks_within(capacity: float, task_size: float) -> int:
+    """Return how many tasks of a size above 0 fit into a capacity, which may be negative.
+
+    The result is at most `UNLIMITED_TASKS`, also for a size whose reciprocal is infinite.
+    """
+    return int(min(UNLIMITED_TASKS, max(0.0, capacity + RESOURCE_EPSILON) / task_size))
 
 
 def capacity_for(spec: JobSpec, machine: Machine) -> int:
@@ -117,11 +125,11 @@
     task_count = UNLIMITED_TASKS
     if team.cpus_max > 0 and spec.cpus > 0:
         remaining = team.cpus_max - inventory.cpus_by_team.get(spec.team, 0.0)
-        task_count = min(task_count, int((remaining + RESOURCE_EPSILON) / spec.cpus))
+        task_count = min(task_count, tasks_within(remaining, spec.cpus))
     if team.gpus_max > 0 and spec.gpus > 0:
         remaining = team.gpus_max - inventory.gpus_by_team.get(spec.team, 0.0)
-        task_count = min(task_count, int((remaining + RESOURCE_EPSILON) / spec.gpus))
-    return max(0, task_count)
+        task_count = min(task_count, tasks_within(remaining, spec.gpus))
+    return task_count
 
 
 def exceeds_quota(spec: JobSpec, inventory: MachineInventory, teams: dict[str, Team]) -> bool:
--- a/src/eldercart/scheduling/prelaunch_queue.py
+++ b/src/eldercart/scheduling/prelaunch_queue.py
@@ -10,7 +10,7 @@
 from eldercart.cluster.inventory import RESOURCE_EPSILON, Machine, MachineInventory
 from eldercart.jobs.job import Job
 from eldercart.scheduling.cluster_state import ClusterState
-from eldercart.scheduling.feasibility import is_feasible
+from eldercart.scheduling.feasibility import is_feasible, tasks_within
 from eldercart.units import JobId, MachineId, MonotonicTime
 from eldercart.wire.users import JobSpec
 
@@ -164,4 +164,4 @@
         )
         if is_starving:
             available_cpus = max(available_cpus, spec.cpus)
-        return int((available_cpus + RESOURCE_EPSILON) / spec.cpus)
+        return tasks_within(available_cpus, spec.cpus)
