Fix: a node whose port is taken waits for it, and then ends

Cause: the event loop logs an exception of the start and runs on. The start raised CannotListenError, and its timer was never started.

Change: PortOpener opens the front and the mesh port one after the other, and tries again every 0.5 s for 10 s, as a predecessor may still be ending. After that the process ends with exit status 1 and a line that names the address.

--- a/src/eldercart/server/controller_node.py
+++ b/src/eldercart/server/controller_node.py
@@ -3,6 +3,7 @@
 import logging
 import secrets
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -20,6 +21,7 @@
 from eldercart.server.node_context import Clock, NodeContext
 from eldercart.server.peers import connections
 from eldercart.server.peers.relay_service import RelayService
+from eldercart.server.startup import PortOpener
 from eldercart.server.store.client import StoreClient
 from eldercart.server.users.user_service import UserService
 from eldercart.settings import NodeSettings, Tuning
@@ -149,10 +151,18 @@
     def machine_types(self, types: dict[str, MachineType]) -> None:
         self._known_machine_types.by_name = types
 
-    def start(self) -> None:
-        """Listen for users, workers and peers, and start the tick timer."""
-        self._http_server.listen()
+    def start(self, on_failed: Callable[[], None]) -> None:
+        """Listen for users, workers and peers, and then start the tick timer.
+
+        `on_failed` is called if a port can't be opened; see `PortOpener`.
+        """
+        listen_calls = (self._http_server.listen, self._listen_for_peers)
+        PortOpener(listen_calls, self._on_listening, on_failed).open()
+
+    def _listen_for_peers(self) -> None:
         connections.listen(self.settings.peer_endpoint, self.relay_service.peer_server)
+
+    def _on_listening(self) -> None:
         log.info(
             "started label=%s zone=%s incarnation=%s",
             self.settings.label,
