Fix: machines are rented for jobs that take accelerators and no CPUs

Found by our own test of extreme submissions: a job with cpus 0 and an accelerator is accepted and waits for ever in an empty cluster.

Cause: the demand for machines is counted in CPUs, and such a job adds none.

Change: its tasks count as one CPU each in the demand.

Open: the demand does not count accelerators, so many such tasks share few machines.

--- a/src/eldercart/autoscaling/autoscaler.py
+++ b/src/eldercart/autoscaling/autoscaler.py
@@ -10,6 +10,7 @@
     ConstrainedJob,
     ScaleOutPass,
     Supply,
+    demanded_cpus_per_task,
     is_serving,
     waiting_cpus,
 )
@@ -99,7 +100,8 @@
         spec = job.spec
         waiting = job.unplaced_count + job.enqueued_count
         placed = spec.task_count - job.done_count - waiting
-        cpus: float = spec.cpus * (placed + self.tuning.waiting_share * waiting)
+        cpus_per_task = demanded_cpus_per_task(spec)
+        cpus: float = cpus_per_task * (placed + self.tuning.waiting_share * waiting)
         team = self.teams.get(spec.team)
         if team is not None and team.cpus_max > 0:
             cpus = min(cpus, max(0.0, team.cpus_max - team_cpus))
--- a/src/eldercart/autoscaling/scale_out.py
+++ b/src/eldercart/autoscaling/scale_out.py
@@ -12,7 +12,10 @@
 from eldercart.scheduling.feasibility import fits_machine_type, is_feasible
 from eldercart.units import DISTANT_PAST, MonotonicTime
 from eldercart.wire.cloud import MAX_CREATED_MACHINES, MachineType
+from eldercart.wire.users import JobSpec
 
+# CPUs by which a task counts in the demand if it takes accelerators only.
+CPUS_WITHOUT_REQUEST = 1.0
 REUSE_WAIT_S = 20.0  # wait for suitable machines in use before others are requested
 
 
@@ -51,9 +54,14 @@
     return machine.state in (MachineState.BOOTING, MachineState.UP) and not machine.is_unschedulable
 
 
+def demanded_cpus_per_task(spec: JobSpec) -> float:
+    """Return the CPUs by which the demand for machines grows with each task of the job."""
+    return spec.cpus if spec.cpus > 0 else CPUS_WITHOUT_REQUEST
+
+
 def waiting_cpus(job: Job) -> float:
-    """Return the CPUs of the job's tasks that are not launched yet."""
-    return job.spec.cpus * (job.unplaced_count + job.enqueued_count)
+    """Return the CPUs that the job's tasks demand which are not launched yet."""
+    return demanded_cpus_per_task(job.spec) * (job.unplaced_count + job.enqueued_count)
 
 
 @dataclass(slots=True)
--- a/tests/test_extreme_submissions.py
+++ b/tests/test_extreme_submissions.py
@@ -50,3 +50,18 @@
         capacity if resource == "memGb" else others,
     )
     assert count == (feasibility.UNLIMITED_TASKS if capacity >= 0 else 0)
+
+
+@pytest.mark.parametrize("task_count", [1, 20])
+@pytest.mark.parametrize("allows_spot", [False, True])
+@pytest.mark.parametrize("accelerators", [1.0, TINY])
+def test_job_without_cpus_gets_a_machine(
+    accelerators: float, allows_spot: bool, task_count: int
+) -> None:
+    """Guards against an accepted job that waits for ever, as the demand for machines, which is
+    counted in CPUs, does not grow with it."""
+    world = World(5)
+    world.submit(
+        "wk-000001", cpus=0.0, accelerators=accelerators, parcels=task_count, loaners=allows_spot
+    )
+    finish(world)
