--- a/tests/test_late_job_records.py
+++ b/tests/test_late_job_records.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 from unittest.mock import Mock
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 import orjson
 import pytest
@@ -20,7 +20,7 @@
 from eldercart.units import JobId, LeaseId, MachineId, Revision, WallTime
 from eldercart.wire import cloud, users
 from eldercart.wire.leader_key import LEADER_KEY
-from eldercart.wire.state import Put, Transaction
+from eldercart.wire.state import Put
 from eldercart.wire.stored_jobs import (
     CLEANUP_PREFIX,
     DEPENDENCY_LIST_PREFIX,
@@ -30,7 +30,8 @@
     encode_end_record,
     encode_job_record,
 )
-from simulators import CATALOG, StoreSim
+from late_answers import StateRequests
+from simulators import CATALOG
 from test_store_limits import node_with_clock
 from test_user_requests import FakeRequest, job_names
 from world import submission
@@ -40,11 +41,11 @@
 ENDS = [users.CANCELLED, users.DONE]
 
 
-class StateService:
-    """Serves `StoreSim` to the store clients of nodes; answers may be held back."""
+class StateService(StateRequests):
+    """Executes each request as it arrives; answers may be held back."""
 
     def __init__(self) -> None:
-        self.store = StoreSim()
+        super().__init__()
         self.held_prefix = ""  # of the requests whose answers are held back; empty: none
         self.held: list[Callable[[], None]] = []
         self._ready: deque[Callable[[], None]] = deque()
@@ -54,32 +55,14 @@
         self, method: bytes, path: str, body: bytes | None, timeout_s: float, answer: Any
     ) -> None:
         parts = urlsplit(path)
-        query = parse_qs(parts.query)
-        prefix = query.get("prefix", [""])[0]
         if parts.path == "/follow":
-            self._watches.append((prefix, int(query["from"][0]), answer))
+            query = parse_qs(parts.query)
+            self._watches.append((query["prefix"][0], int(query["from"][0]), answer))
             return
-        if parts.path == "/txn":
-            assert body is not None
-            status, response = self.store.txn(body)
-            name = "txn " + " ".join(w.get("put", "") for w in orjson.loads(body)["writes"])
-        elif parts.path == "/keys":
-            pairs = [p for p in self.store.range(prefix) if p["path"] > query.get("from", [""])[0]]
-            status, response = 200, {"pairs": pairs, "more": False, "ledgerRev": self._revision}
-            name = "range " + prefix
-        else:
-            key = unquote(parts.path[len("/keys/") :])
-            item = self.store.item(key)
-            status = 404 if item is None else 200
-            response = {"ledgerRev": self._revision} if item is None else item
-            name = "get " + key
-        data = orjson.dumps(response)
-        is_held = bool(self.held_prefix) and name.startswith(self.held_prefix)
-        (self.held if is_held else self._ready).append(lambda: answer(status, data))
-
-    @property
-    def _revision(self) -> int:
-        return self.store.revision
+        response = self.execute(path, body)
+        is_held = bool(self.held_prefix) and response.name.startswith(self.held_prefix)
+        data = orjson.dumps(response.body)
+        (self.held if is_held else self._ready).append(lambda: answer(response.status, data))
 
     def settle(self) -> None:
         """Deliver all answers that are not held back."""
@@ -98,17 +81,10 @@
         """Answer the open watch on job records with the changes since its revision."""
         ((prefix, after, answer),) = [w for w in self._watches if w[0] == JOB_PREFIX]
         self._watches.clear()
-        log = [
-            event
-            for revision, event in self.store.log
-            if revision > after and (event.get("put") or event["delete"]).startswith(prefix)
-        ]
-        answer(status, orjson.dumps({"ledgerRev": self._revision, "log": log}))
+        body = {"ledgerRev": self.store.revision, "log": self.changes(prefix, after)}
+        answer(status, orjson.dumps(body))
         self.settle()
 
-    def put(self, *writes: Put) -> None:
-        assert self.store.txn(Transaction({}, list(writes)).body())[0] == 200
-
 
 class Region:
     """Nodes of one state service. The test decides which one leads."""
@@ -173,6 +149,11 @@
         assert JOB_PREFIX + JOB not in self.service.store.keys and JOB not in scheduler.jobs
         node.user_service._outcomes._outcomes.clear()  # as after many other jobs have ended
 
+    def end_job_under_previous_leader(self, outcome: str) -> None:
+        node, clock = self.node()
+        self.elect(node)
+        self.end_job(node, clock, outcome)
+
 
 def scheduler_of(node: ControllerNode) -> Scheduler:
     assert node.leader_service.scheduler is not None
@@ -209,9 +190,7 @@
     region.store_job()
     region.service.held_prefix = "get job/"
     node.user_service._poll(FakeRequest({}), JOB)  # type: ignore[arg-type]
-    previous, previous_clock = region.node()
-    region.elect(previous)
-    region.end_job(previous, previous_clock, outcome)
+    region.end_job_under_previous_leader(outcome)
     region.elect(node)
     region.service.release()
     assert JOB not in scheduler_of(node).jobs
@@ -249,9 +228,7 @@
     node, _ = region.node()
     region.service.held_prefix = "txn job/"
     region.submit(node, BODY)
-    previous, previous_clock = region.node()
-    region.elect(previous)
-    region.end_job(previous, previous_clock, outcome)
+    region.end_job_under_previous_leader(outcome)
     region.elect(node)
     region.service.release()
     assert JOB not in scheduler_of(node).jobs
