--- a/src/eldercart/scheduling/state_loader.py
+++ b/src/eldercart/scheduling/state_loader.py
@@ -14,11 +14,10 @@
 from eldercart.wire import MalformedMessageError, users
 from eldercart.wire.state import Item
 from eldercart.wire.stored_jobs import (
-    CLEANUP_PREFIX,
-    JOB_PREFIX,
     decode_cancellation_time,
     decode_end_record,
     decode_job_record,
+    job_id_of,
     resolved_list_reference,
 )
 
@@ -61,7 +60,7 @@
         placements = load_placement_records(
             self._transaction_writer.placement_records, placement_items, self._jobs
         )
-        recorded_job_ids = {item.key[len(JOB_PREFIX) :] for item in (*job_items, *incomplete_jobs)}
+        recorded_job_ids = {job_id_of(item) for item in (*job_items, *incomplete_jobs)}
         self._load_cleanup_markers(cleanup_items, recorded_job_ids, now)
         for job in self._jobs.jobs.values():
             self._finish_load(job, now)
@@ -79,11 +78,11 @@
 
         It is not if its job is in the registry or has ended.
         """
-        return self.job_record_history.defer(_job_id_of(item), item.version)
+        return self.job_record_history.defer(job_id_of(item), item.version)
 
     def load_job_record(self, item: Item, source: JobRecordSource, now: MonotonicTime) -> None:
         """Add the job of a record that a read or a watch returned; log an unreadable record."""
-        job_id = _job_id_of(item)
+        job_id = job_id_of(item)
         if job_id in self._jobs:
             return
         try:
@@ -138,7 +137,7 @@
             self._load_finished_job(job, marker, now)
 
     def _load_cleanup_markers(
-        self, markers: Iterable[Item], recorded_job_ids: set[str], now: MonotonicTime
+        self, markers: Iterable[Item], recorded_job_ids: set[JobId], now: MonotonicTime
     ) -> None:
         """Load the cleanup markers of jobs that have ended and whose records are to be deleted.
 
@@ -146,7 +145,7 @@
         retained; without it, a node that can read the record would consider the job unfinished.
         """
         for item in markers:
-            job_id = JobId(item.key[len(CLEANUP_PREFIX) :])
+            job_id = job_id_of(item)
             job = self._jobs.get(job_id)
             if job is not None:
                 self._load_finished_job(job, item, now)
@@ -196,7 +195,3 @@
             # This leader observes only part of the run time. Counted as a full run time, it would
             # make all later tasks of the job, and the healthy machines they run on, look slow.
             placement.is_start_known = False
-
-
-def _job_id_of(item: Item) -> JobId:
-    return JobId(item.key[len(JOB_PREFIX) :])
--- a/src/eldercart/server/leadership/job_record_watch.py
+++ b/src/eldercart/server/leadership/job_record_watch.py
@@ -22,6 +22,7 @@
     JOB_PREFIX,
     decode_dependency_list_reference,
     dependency_list_prefix,
+    job_id_of,
     resolve_dependency_list,
 )
 
@@ -111,7 +112,7 @@
         from the state service, and none of its tasks may start.
         """
         scheduler = self._leadership.scheduler
-        job = JobId(item.key[len(JOB_PREFIX) :])
+        job = job_id_of(item)
         if scheduler is None or self._outcomes.outcome_of(job) is not None:
             return
         if not has_dependency_list(item):
@@ -126,7 +127,7 @@
         """Read the list that the record refers to, and retry until it is complete."""
         if not is_current_leadership(self._leadership, scheduler):
             return
-        job = JobId(item.key[len(JOB_PREFIX) :])
+        job = job_id_of(item)
         reference = decode_dependency_list_reference(item.value)
         known = job in scheduler.jobs or self._outcomes.outcome_of(job) is not None
         if reference is None or known:
@@ -182,7 +183,7 @@
     resolved: list[Item] = []
     unresolved: list[Item] = []
     for item in records:
-        job = JobId(item.key[len(JOB_PREFIX) :])
+        job = job_id_of(item)
         found = (
             resolve_dependency_list(job, item, lists_by_job.get(job, ()))
             if has_dependency_list(item)
--- a/src/eldercart/server/users/ancestor_search.py
+++ b/src/eldercart/server/users/ancestor_search.py
@@ -17,7 +17,7 @@
 from eldercart.units import ABSENT_REVISION, JobId, Revision
 from eldercart.wire import users
 from eldercart.wire.state import Item, Transaction
-from eldercart.wire.stored_jobs import END_PREFIX, JOB_PREFIX, decode_end_record
+from eldercart.wire.stored_jobs import END_PREFIX, JOB_PREFIX, decode_end_record, job_id_of
 
 MAX_POINT_READS = 8  # more records than this are read by their common key prefix
 # After this many rounds of reading job records, the records of all unfinished jobs are read at
@@ -304,7 +304,7 @@
         if items is None:
             self._on_request_failed()
             return
-        found = {JobId(item.key[len(prefix) :]): item for item in items}
+        found = {job_id_of(item): item for item in items}
         if prefix == JOB_PREFIX:
             # Cache all records that were read: their jobs may be ancestors of the wanted ones.
             for job, item in found.items():
--- a/src/eldercart/server/users/dependencies.py
+++ b/src/eldercart/server/users/dependencies.py
@@ -21,10 +21,10 @@
 from eldercart.wire.state import Item
 from eldercart.wire.stored_jobs import (
     END_PREFIX,
-    JOB_PREFIX,
     decode_dependency_list_reference,
     decode_end_record,
     dependency_list_prefix,
+    job_id_of,
     resolve_dependency_list,
     split_dependency_list,
 )
@@ -121,9 +121,7 @@
             if items is None:
                 on_result(None)
                 return
-            outcomes = {
-                JobId(item.key[len(END_PREFIX) :]): decode_end_record(item.value) for item in items
-            }
+            outcomes = {job_id_of(item): decode_end_record(item.value) for item in items}
             for job, outcome in outcomes.items():
                 self.outcomes.put(job, outcome)
             on_result(outcomes)
@@ -157,7 +155,7 @@
         self, item: Item, on_result: Callable[[tuple[JobId, ...] | None], None]
     ) -> None:
         """Read the dependencies of the job with this record; None if that fails."""
-        job = JobId(item.key[len(JOB_PREFIX) :])
+        job = job_id_of(item)
         cached = self.dependencies_of(job)
         if cached is not None:
             on_result(cached)
--- a/src/eldercart/wire/stored_jobs.py
+++ b/src/eldercart/wire/stored_jobs.py
@@ -33,6 +33,11 @@
 _LIST_OVERHEAD_BYTES = 2  # two brackets around the list
 
 
+def job_id_of(item: Item) -> JobId:
+    """Return the job whose record, end record or cleanup marker the item is."""
+    return JobId(item.key.partition("/")[2])
+
+
 class StoredJob(NamedTuple):
     """The decoded content of a job record."""
 
