--- a/tests/test_extreme_submissions.py
+++ b/tests/test_extreme_submissions.py
@@ -34,6 +34,8 @@
     world.submit("wk-000001", crew=team, **changes)
     for number in range(2, 12):  # more than fits at once, so that tasks wait on machines too
         world.submit(f"wk-{number:06d}", crew="t2", parcels=8, lot="quick")
+    world.run(8)
+    world.elect()  # which loads the records of the jobs
     finish(world)
 
 
