--- a/review/rig2/region.py
+++ b/review/rig2/region.py
@@ -811,7 +811,7 @@
 
 
 def run(folder: Path, case: Callable[[Region, Record], Awaitable[int]], site: dict[str, Any], nodes: int = 3) -> None:
-    """Run a case and exit with its result."""
+    """Run a case and exit with its result. With 0 nodes, the case starts them itself."""
 
     async def main() -> int:
         task = asyncio.current_task()
@@ -822,7 +822,8 @@
         result = NOT_RUN
         try:
             async with asyncio.timeout(118):
-                await region.start(nodes)
+                if nodes:
+                    await region.start(nodes)
                 result = await case(region, record)
         except NotRunError as error:
             record.write("run", f"could not run: {error}")
