--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""After a crash of the leader, tasks of a job that must stay in one zone start in a second one."""
+"""After some interruptions of the network, the leader accepts no connection of another node."""
 
 import asyncio
 import os
@@ -8,91 +8,68 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig3"))
 
 from case import BROKEN, HELD, has_trouble, main, need
-from region import World, now, submission
+from region import HOST, Client, World, now, submission
 from users import Users
 
-JOB, OTHER = "wk-000398", "wk-000397"
-ZONE_1, ZONE_2 = "library-closet", "town-hall-basement"
-TASKS, CPUS, PER_MACHINE = 140, 0.25, 64
-FIRST_S, LATER_S = 6.0, 90.0  # run times of the first 64 tasks and of the others
-OTHER_MACHINES = 5  # machines in the first zone that run another job
-BACK_S = 6.0  # as the brief says: "back about 6 s after an end"
-WATCH_S = 25.0
+JOB = "wk-000398"
+CUTS, CUT_S, PAUSE_S = 9, 3.0, 1.0
+SETTLE_S = 5.0  # after the last interruption
+RETRY_S = 60.0  # how long a user repeats a request
 
 
 def make_world():
-    # The limits of the state service are those of the page on job chains.
-    world = World(capacity=OTHER_MACHINES + 1, state_next={"value_kb": 2.0, "txn_ops": 13, "write_rps": 35.0})
-    world.other_ends_at = None
-
-    def run_s(key):
-        """The tasks of the other job end one second after the leader, while no node leads."""
-        job, _, number = key.rpartition("/")
-        if job == OTHER:
-            is_over = world.other_ends_at is not None and now() > world.other_ends_at
-            return 0.0 if is_over else 600.0
-        return FIRST_S if int(number) < PER_MACHINE else LATER_S
-
-    world.run_s = run_s
-
-    def check_zones(worker, task):
-        """`wrong_place`: a task starts in a zone that its job's other tasks rule out."""
-        zones = {}
-        for key, places in world.on.items():
-            if key.rpartition("/")[0] == JOB:
-                for name, _ in places:
-                    zone = world.cloud.listed[name][0].yard
-                    zones[zone] = zones.get(zone, 0) + 1
-        if len(zones) > 1:
-            world.breach(
-                "wrong_place", f"{task.key} try {task.attempt} starts on {worker.name}; tasks of {JOB} by zone: {zones}"
-            )
-
-    world.start_checks = (check_zones,)
+    world = World(node_count=5, capacity=4)
+    world.run_s = lambda key: 600.0
+    for zone in world.zones:
+        world.cloud.create("scanbox16", zone, spot=False, boot_s=0.3)
     return world
 
 
-def machine(world, zone):
-    return world.cloud.machines[world.cloud.create("scanbox16", zone, spot=False, boot_s=0.3)]
+async def cancel_on_one_connection(world, users, job, node):
+    """Cancel as a user does, who keeps the connection; return the answers."""
+    client = Client(HOST, node.front)
+    answers = []
+    end = now() + RETRY_S
+    while now() < end:
+        sent_at = now()
+        status, answer, headers = await client.request("POST", f"/work/{job}/cancel", {}, 5.0)
+        answers.append(status)
+        users.note(users.told[job], "cancel", node, sent_at, status, answer)
+        if status == 200:
+            break
+        await asyncio.sleep(max(1.0, float(headers.get("retry-after") or 0)))
+    client.close()
+    return answers
 
 
 async def play(world, say):
     users = Users(world)
-    for _ in range(OTHER_MACHINES + 1):
-        machine(world, ZONE_1)
     need(await world.until(lambda: world.leader() is not None, 20), "no leader")
-    other = submission(OTHER, parcels=OTHER_MACHINES, cpus=16.0, haulS=10.0, loaners=False)
-    need(await users.submit_until_accepted(other) in (200, 201), "not accepted")
-
-    def running(job):
-        return sum(1 for k, places in world.on.items() if places and k.startswith(job + "/"))
-
-    need(await world.until(lambda: running(OTHER) == OTHER_MACHINES, 20), "other job not started")
-    job = submission(
-        JOB, lot="thumb-refresh", parcels=TASKS, cpus=CPUS, memGb=1.5, together=True, haulS=10.0, loaners=False
-    )
-    need(await users.submit_until_accepted(job) in (200, 201), "not accepted")
-    need(await world.until(lambda: running(JOB) == PER_MACHINE, 20), "tasks did not start")
-    machine_2 = machine(world, ZONE_2)
-    last = f"{JOB}/{2 * PER_MACHINE - 1}"
-    need(await world.until(lambda: world.on.get(last), 30), "the second wave did not start")
-    need({n for n, _ in world.on[last]} == {machine_2.name}, "the second wave is elsewhere")
+    need(await users.submit_until_accepted(submission(JOB, haulS=600.0)) in (200, 201), "no job")
+    need(await world.until(lambda: world.on.get(f"{JOB}/3"), 20), "the job does not run")
+    leader = world.leader()
+    links = [link for (_, target), link in world.links.items() if target == leader.label]
+    for _ in range(CUTS):
+        for link in links:
+            link.set_mode("lost" if has_trouble() else "open")
+        await asyncio.sleep(CUT_S)
+        for link in links:
+            link.set_mode("open")
+        await asyncio.sleep(PAUSE_S)
+    await asyncio.sleep(SETTLE_S)
+    need(world.leader() is leader, "another node leads")
     say(
-        f"the first {PER_MACHINE} tasks ran in {ZONE_1} and are done: {len(world.done)}; the next "
-        f"{PER_MACHINE} run in {ZONE_2}, {TASKS - 2 * PER_MACHINE} wait"
+        f"{CUTS if has_trouble() else 0} interruptions of {CUT_S} s between the leader "
+        f"{leader.label} and the other nodes are over"
     )
-    leader = world.leader()
-    if has_trouble():
-        leader.kill()
-        say(f"the leader {leader.label} crashes")
-    world.other_ends_at = now() + 1.0
-    say(f"a second later the other job ends, so that machines in {ZONE_1} have room")
-    await asyncio.sleep(BACK_S)
-    if has_trouble():
-        leader.start()
-    await asyncio.sleep(WATCH_S - BACK_S)
-    say(f"tasks of {JOB} that started where its other tasks rule it out: {len(world.broken)}")
-    return BROKEN if world.broken else HELD
+    follower = next(n for n in world.nodes if n is not leader)
+    answers = await cancel_on_one_connection(world, users, JOB, follower)
+    say(f"a user cancels {JOB} at {follower.label}, for up to {RETRY_S:.0f} s: answers {answers}")
+    if answers[-1] == 200:
+        return HELD
+    live = sorted(k for k, places in world.on.items() if places and k.startswith(JOB))
+    world.breach("cancel", f"no answer 200 for {RETRY_S:.0f} s; still running: {live}")
+    return BROKEN
 
 
 if __name__ == "__main__":
